Fleet: the whole path on the users' platform, in thin form

An entry instance that serves a platform's routes: the adapter in platform/ (settings, store, configuration, targets, headers, orders), decisions in internal/fleet (choice by predicted value, second tries, retry budget, memory set aside for large prompts, loads told to peers), the rim in internal/forward, the copy of the store in internal/follow and the assembly in internal/fleetnode.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -31,6 +31,7 @@
 func commands() map[string]command {
 	return map[string]command{
 		"dev":      {"run everything in one process on loopback", runDev},
+		"fleet":    {"run one entry instance on the platform", runFleet},
 		"plan":     {"show what an intent or edit would change", runPlan},
 		"confirm":  {"make a plan the accepted configuration", runConfirm},
 		"rollback": {"plan the return to an earlier revision", runRollback},
--- /dev/null
+++ b/internal/cli/fleet.go
@@ -0,0 +1,55 @@
+package cli
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/medlardeck/medlardeck/internal/fleet"
+	"github.com/medlardeck/medlardeck/internal/fleetnode"
+	"github.com/medlardeck/medlardeck/internal/telemetry"
+	"github.com/medlardeck/medlardeck/platform"
+)
+
+// runFleet runs one entry instance on the users' platform.
+func runFleet(args []string, stdout, stderr io.Writer) int {
+	flags := flag.NewFlagSet("fleet", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	path := flags.String("settings", os.Getenv(platform.SettingsVariable), "path of the settings `file`")
+	policy := flags.String("policy", string(fleet.PolicyValue), "how targets are chosen: value, round-robin or least-outstanding")
+	metrics := flags.String("metrics-address", "", "`address` that serves metrics, empty for none")
+	check := flags.Bool("check", false, "check the settings and exit")
+	if err := flags.Parse(args); err != nil {
+		return exitUsage
+	}
+	settings, err := platform.LoadSettings(*path)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitError
+	}
+	if *check {
+		return exitOK
+	}
+	instance, err := fleetnode.Start(fleetnode.Options{
+		Settings: settings, Store: platform.NewStore(settings.StoreAddress),
+		Decoder: fleetnode.Decoder{
+			ConfigPrefix: platform.ConfigPrefix, ConfigKey: platform.ConfigKey, TargetsPrefix: platform.TargetsPrefix,
+			Config: platform.DecodeConfig, Target: platform.DecodeTarget, TargetID: platform.TargetID,
+		},
+		Dialect: platform.Dialect{}, Orders: platform.NewOrders(), Policy: fleet.Policy(*policy),
+		MetricsAddress: *metrics, Log: telemetry.NewLog(stdout),
+	})
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitError
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	signal.Ignore(syscall.SIGHUP)
+	<-signals
+	instance.Stop()
+	return exitOK
+}
--- /dev/null
+++ b/internal/fleet/core.go
@@ -0,0 +1,228 @@
+package fleet
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Options are the settings of the decisions of one instance.
+type Options struct {
+	// Name is unique among instances.
+	Name   string
+	Domain string // failure domain
+	// Policy selects how targets are chosen; empty takes PolicyValue.
+	Policy Policy
+	// RetryRatio and RetrySlack bound the sends beyond the first of each request,
+	// by all instances in RetryWindow: ratio x requests + slack.
+	RetryRatio, RetrySlack float64
+	RetryWindow            time.Duration
+	// TicketHold is the longest time that targets set memory aside.
+	TicketHold time.Duration
+	Seed       uint64
+}
+
+// Core holds the decisions of one instance. It is not safe for concurrent use.
+type Core struct {
+	opts Options
+	rng  *rand.Rand
+	now  time.Duration
+	out  []Effect
+
+	timers   timerHeap
+	timerSeq uint64
+
+	config    *Config
+	runners   map[string]*runner
+	byService map[string][]*runner // ordered by id
+	store     storeState
+
+	requests map[RequestID]*active
+	attempts map[AttemptID]*active
+	nextID   AttemptID
+	nextKey  uint64
+	turn     map[string]int // of round robin, by service
+
+	peers    map[string]*peer
+	outbox   outbox
+	budgets  map[string]*budget // by service
+	suspects map[uint64]*suspect
+	stopping bool
+	drained  bool
+}
+
+// New returns decisions without configuration and targets.
+func New(opts Options) *Core {
+	c := &Core{
+		opts: opts, rng: rand.New(rand.NewPCG(opts.Seed, 0)),
+		runners: make(map[string]*runner), byService: make(map[string][]*runner),
+		requests: make(map[RequestID]*active), attempts: make(map[AttemptID]*active),
+		turn: make(map[string]int), peers: make(map[string]*peer),
+		budgets: make(map[string]*budget), suspects: make(map[uint64]*suspect),
+		store: storeState{reachable: true},
+	}
+	return c
+}
+
+// Step advances to now, handles one event and returns what the rim has to do,
+// in order. The returned slice is valid until the next Step.
+func (c *Core) Step(now time.Duration, ev Event) []Effect {
+	c.now = max(c.now, now)
+	c.out = c.out[:0]
+	for len(c.timers) > 0 && c.timers[0].at <= c.now {
+		heap.Pop(&c.timers).(timer).fn()
+	}
+	c.handle(ev)
+	c.flush()
+	if c.stopping && !c.drained && len(c.requests) == 0 {
+		c.drained = true
+		c.emit(Drained{})
+	}
+	return c.out
+}
+
+func (c *Core) handle(ev Event) {
+	switch ev := ev.(type) {
+	case Configure:
+		c.configure(ev.Config)
+	case TargetListed:
+		c.listed(ev.Target)
+	case TargetRemoved:
+		c.removed(ev.ID)
+	case TargetList:
+		c.list(ev.Targets)
+	case StoreSeen:
+		c.storeSeen(ev.Reachable)
+	case Arrive:
+		c.arrive(ev)
+	case Progress:
+		c.progress(ev)
+	case AttemptEnd:
+		c.attemptEnd(ev)
+	case CallerLeft:
+		c.callerLeft(ev)
+	case Reserved:
+		c.reserved(ev)
+	case PeerLoad:
+		c.peerLoad(ev)
+	case Stop:
+		c.stopping, c.drained = true, false
+	case Tick:
+	}
+}
+
+// Next returns the time of the next timer; ok is false when there is none.
+func (c *Core) Next() (at time.Duration, ok bool) {
+	if len(c.timers) == 0 {
+		return 0, false
+	}
+	return c.timers[0].at, true
+}
+
+// Stopping reports whether a planned stop has begun.
+func (c *Core) Stopping() bool { return c.stopping }
+
+// Config returns the configuration in force, nil before the first.
+func (c *Core) Config() *Config { return c.config }
+
+func (c *Core) emit(e Effect) { c.out = append(c.out, e) }
+
+func (c *Core) count(counter, reason string) { c.emit(Count{counter, reason}) }
+
+func (c *Core) log(event string, pairs ...any) { c.emit(Log{event, pairs}) }
+
+func (c *Core) configure(config *Config) {
+	if c.config != nil && config.Version <= c.config.Version {
+		return
+	}
+	c.log("configuration", "version", config.Version, "routes", len(config.Routes),
+		"workspaces", len(config.Workspaces))
+	c.config = config
+}
+
+// after runs fn at the first Step at or after now+d. Timers are not cancelled:
+// fn checks whether it still applies.
+func (c *Core) after(d time.Duration, fn func()) {
+	c.timerSeq++
+	heap.Push(&c.timers, timer{at: c.now + d, seq: c.timerSeq, fn: fn})
+}
+
+type timer struct {
+	at  time.Duration
+	seq uint64 // orders timers of the same time
+	fn  func()
+}
+
+type timerHeap []timer
+
+func (h timerHeap) Len() int { return len(h) }
+func (h timerHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(x any)   { *h = append(*h, x.(timer)) }
+func (h *timerHeap) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	old[len(old)-1] = timer{}
+	*h = old[:len(old)-1]
+	return t
+}
+
+// suspect counts the runs of one request that ended with a broken connection.
+type suspect struct {
+	broken int
+	until  time.Duration
+}
+
+// Bounds of requests that end the targets that run them.
+const (
+	// maxBroken is the number of broken runs from which a request is refused.
+	maxBroken = 3
+	// suspicionTime is how long broken runs are remembered: longer than a caller
+	// of the usual deadlines goes on sending the request again.
+	suspicionTime = time.Minute
+)
+
+func (c *Core) suspicious(fingerprint uint64) bool {
+	s := c.suspects[fingerprint]
+	return s != nil && s.broken >= maxBroken && c.now < s.until
+}
+
+// ranBroken notes a run that ended with a broken connection.
+func (c *Core) ranBroken(fingerprint uint64) {
+	for fp, s := range c.suspects {
+		if c.now >= s.until {
+			delete(c.suspects, fp)
+		}
+	}
+	s := c.suspects[fingerprint]
+	if s == nil {
+		s = &suspect{}
+		c.suspects[fingerprint] = s
+	}
+	s.broken++
+	s.until = c.now + suspicionTime
+}
+
+// serviceRunners returns the targets of a service, ordered by id.
+func (c *Core) serviceRunners(service string) []*runner { return c.byService[service] }
+
+func (c *Core) indexRunner(r *runner) {
+	pool := c.byService[r.Service]
+	i, _ := slices.BinarySearchFunc(pool, r.ID, func(r *runner, id string) int {
+		if r.ID < id {
+			return -1
+		} else if r.ID > id {
+			return 1
+		}
+		return 0
+	})
+	c.byService[r.Service] = slices.Insert(pool, i, r)
+}
+
+func (c *Core) dropRunner(r *runner) {
+	delete(c.runners, r.ID)
+	c.byService[r.Service] = slices.DeleteFunc(c.byService[r.Service], func(o *runner) bool { return o == r })
+}
--- /dev/null
+++ b/internal/fleet/request.go
@@ -0,0 +1,426 @@
+package fleet
+
+import (
+	"strconv"
+	"time"
+)
+
+// Times and limits of attempts.
+const (
+	// stallBase is the least time without an event after which a target counts
+	// as silent; a sound one sends something with each pass.
+	stallBase = 900 * time.Millisecond
+	// stallFactor is how many times the predicted time to the first event a
+	// target may take before it counts as silent.
+	stallFactor = 2.5
+	// maxUnsent bounds the sends of one request that ended without a run.
+	maxUnsent = 3
+	// minRetryAfter is the shortest time after which a refused caller is told to
+	// come back: a target's state changes with its passes, some of them a second.
+	minRetryAfter = 200 * time.Millisecond
+	// noTargetRetryAfter is the same where no target is known at all: the time
+	// in which a target that starts is listed.
+	noTargetRetryAfter = time.Second
+)
+
+// active is one request between Arrive and Finish.
+type active struct {
+	arrive    Arrive
+	service   string
+	value     float64
+	arrivedAt time.Duration
+	deadline  time.Duration
+
+	attempt  AttemptID // current, 0 for none
+	target   *runner   // of the current attempt
+	flights  []placed  // loads of the current attempt
+	ran      int       // attempts that ran or may have
+	unsent   int       // attempts that did not run
+	tried    []string  // ids of targets that failed the request
+	begun    bool      // an event or more went to the caller
+	fresh    bool      // the current attempt has sent an event
+	sentAt   time.Duration
+	lastAt   time.Duration // of the last event
+	stallAt  time.Duration
+	lastID   string
+	last     AttemptEnd
+	answered bool // the last attempt ended with an answer that may be passed on
+
+	reservation *reservation
+}
+
+func (a *active) memoryTokens() int { return a.arrive.PromptTokens + a.arrive.MaxAnswerTokens }
+
+func (c *Core) arrive(ev Arrive) {
+	a := &active{
+		arrive: ev, arrivedAt: c.now, deadline: ev.Deadline,
+		value: value(ev.PromptTokens), lastID: ev.ResumeAfter,
+	}
+	if t := ev.Route.Timeout; t > 0 {
+		a.deadline = min(a.deadline, c.now+t)
+	}
+	c.requests[ev.Request] = a
+	a.service = c.pickService(ev.Route)
+	c.countRequest(a.service)
+	if c.suspicious(ev.Fingerprint) {
+		c.finish(a, Finish{Outcome: Refused, Reason: "suspect-request", RetryAfter: suspicionTime})
+		return
+	}
+	c.after(a.deadline-c.now, func() { c.timeUp(ev.Request) })
+	c.dispatch(a)
+}
+
+// pickService draws one of the route's services by their weights.
+func (c *Core) pickService(r *Route) string {
+	total := 0
+	for _, b := range r.Backends {
+		total += b.Weight
+	}
+	if total <= 0 {
+		return ""
+	}
+	n := c.rng.IntN(total)
+	for _, b := range r.Backends {
+		if n -= b.Weight; n < 0 {
+			return b.Service
+		}
+	}
+	return ""
+}
+
+// dispatch chooses targets and sends an attempt, or ends the request.
+func (c *Core) dispatch(a *active) {
+	p := c.choose(a)
+	if p.first == nil {
+		c.noTarget(a)
+		return
+	}
+	if p.ticketed {
+		c.reserve(a, p)
+		return
+	}
+	c.send(a, p, nil)
+}
+
+func (c *Core) noTarget(a *active) {
+	reason := "no-target"
+	for _, r := range c.serviceRunners(a.service) {
+		if !r.gone && !r.leaving {
+			reason = "no-memory"
+		}
+	}
+	c.giveUp(a, reason, noTargetRetryAfter)
+}
+
+func (c *Core) send(a *active, p plan, tickets []string) {
+	c.nextID++
+	a.attempt, a.target, a.fresh, a.answered = c.nextID, p.first, false, false
+	a.sentAt, a.lastAt = c.now, c.now
+	c.attempts[a.attempt] = a
+	helpers := make([]Helper, len(p.helpers))
+	for i, h := range p.helpers {
+		helpers[i] = Helper{Target: h.ID, Address: h.Address}
+		if tickets != nil {
+			helpers[i].Ticket = tickets[i]
+		}
+	}
+	c.occupy(a, p)
+	workspace := ""
+	if a.arrive.Caller != nil {
+		workspace = a.arrive.Caller.Name
+	}
+	c.log("send", "request", a.arrive.ID, "attempt", a.attempt, "target", p.first.ID, "address", p.first.Address,
+		"parts", p.parts(), "predicted_ms", int(p.firstEventMS), "score", strconv.FormatFloat(p.score, 'f', 2, 64),
+		"prompt", a.arrive.PromptTokens, "at_target", len(p.first.flights), "resume_after", a.lastID)
+	c.emit(Send{
+		Request: a.arrive.Request, Attempt: a.attempt, Target: p.first.Target, Deadline: a.deadline,
+		ResumeAfter: a.lastID, Urgency: c.urgency(a), Helpers: helpers, Workspace: workspace,
+		FreshConnection: !a.arrive.Route.Repeatable(),
+	})
+	patience := max(stallBase, fromMS(stallFactor*p.firstEventMS))
+	a.stallAt = c.now + patience
+	c.watch(a, a.attempt, patience)
+}
+
+// urgency is the order of admission at targets, from the priorities that the
+// operators set.
+func (c *Core) urgency(a *active) int {
+	p := a.arrive.Route.Priority
+	if w := a.arrive.Caller; w != nil && w.Priority != nil {
+		p = *w.Priority
+	}
+	return min(9, max(0, p))
+}
+
+// occupy adds the loads of an attempt and tells peers.
+func (c *Core) occupy(a *active, p plan) {
+	context := a.arrive.PromptTokens / p.parts()
+	add := func(r *runner, part bool, memory int) {
+		c.nextKey++
+		l := Load{
+			Target: r.ID, Key: c.nextKey, ReadMS: p.readMS, ContextTokens: context, MemoryTokens: memory,
+			MaxPauseMS: int(ms(a.arrive.Route.MaxPause)), Part: part, Value: a.value,
+		}
+		a.flights = append(a.flights, placed{r, r.begin(c.now, "", l)})
+		c.outbox.gossip.Loads = append(c.outbox.gossip.Loads, l)
+	}
+	memory, partMemory := a.memoryTokens(), 0
+	if p.ticketed {
+		partMemory = memory / p.parts()
+		memory = partMemory
+	}
+	add(p.first, false, memory)
+	for _, h := range p.helpers {
+		add(h, true, partMemory)
+	}
+	c.shareSoon()
+}
+
+// vacate removes the loads of the current attempt.
+func (c *Core) vacate(a *active) {
+	for _, pl := range a.flights {
+		pl.runner.end(c.now, pl.flight)
+		c.outbox.gossip.Ended = append(c.outbox.gossip.Ended, pl.flight.Key)
+		if pl.runner.gone && len(pl.runner.flights) == 0 {
+			c.dropRunner(pl.runner)
+		}
+	}
+	a.flights = nil
+	delete(c.attempts, a.attempt)
+	a.attempt = 0
+	c.shareSoon()
+	c.releaseTickets(a)
+}
+
+func (c *Core) progress(ev Progress) {
+	a := c.attempts[ev.Attempt]
+	if a == nil {
+		return
+	}
+	a.begun, a.lastAt = true, c.now
+	if ev.EventID != "" {
+		a.lastID = ev.EventID
+	}
+	a.stallAt = c.now + c.pausePatience(a)
+	if a.fresh {
+		return
+	}
+	a.fresh = true
+	a.target.health.succeeded()
+	c.log("first-event", "request", a.arrive.ID, "attempt", ev.Attempt, "after_ms", int(ms(c.now-a.sentAt)))
+	for _, pl := range a.flights {
+		pl.runner.firstEvent(c.now, pl.flight)
+		c.outbox.gossip.Begun = append(c.outbox.gossip.Begun, pl.flight.Key)
+	}
+	c.shareSoon()
+}
+
+// pausePatience is the longest pause after which a target counts as silent.
+func (c *Core) pausePatience(a *active) time.Duration {
+	return max(stallBase, time.Duration(stallFactor*float64(a.arrive.Route.MaxPause)))
+}
+
+// watch looks for a silent target at the times it should have sent something.
+func (c *Core) watch(a *active, id AttemptID, wait time.Duration) {
+	if !a.arrive.Route.Repeatable() {
+		return
+	}
+	c.after(wait, func() {
+		if a.attempt != id {
+			return
+		}
+		if c.now < a.stallAt {
+			c.watch(a, id, a.stallAt-c.now)
+			return
+		}
+		c.stalled(a)
+	})
+}
+
+func (c *Core) stalled(a *active) {
+	if a.ran+1 >= a.arrive.Route.MaxAttempts || len(c.candidates(a)) == 0 {
+		return
+	}
+	c.log("target-silent", "request", a.arrive.ID, "attempt", a.attempt, "target", a.target.ID,
+		"silent_ms", int(ms(c.now-a.lastAt)))
+	c.emit(Cancel{Attempt: a.attempt})
+	c.failedTarget(a, true)
+	c.vacate(a)
+	a.ran++
+	c.again(a, "silent")
+}
+
+func (c *Core) failedTarget(a *active, severe bool) {
+	weight := 1.0
+	if !severe {
+		weight = 0.5
+	}
+	a.tried = append(a.tried, a.target.ID)
+	a.target.health.failed(c.now, weight, severe)
+	if severe {
+		c.outbox.gossip.Failed = append(c.outbox.gossip.Failed, a.target.ID)
+		c.shareSoon()
+	}
+}
+
+func (c *Core) attemptEnd(ev AttemptEnd) {
+	a := c.attempts[ev.Attempt]
+	if a == nil {
+		c.count("answers_dropped", "late-end")
+		return
+	}
+	target := a.target
+	a.last = ev
+	if ev.End != EndComplete {
+		c.log("attempt-ended", "request", a.arrive.ID, "attempt", ev.Attempt, "target", target.ID,
+			"end", ev.End.String(), "status", ev.Status, "cause", ev.Cause, "culprit", ev.Culprit,
+			"after_ms", int(ms(c.now-a.sentAt)))
+		c.count("attempts_ended", ev.End.String())
+	}
+	switch ev.End {
+	case EndComplete:
+		target.health.succeeded()
+		c.vacate(a)
+		c.finish(a, Finish{Outcome: Answered})
+	case EndFailed:
+		c.failedTarget(a, false)
+		c.vacate(a)
+		a.ran++
+		a.answered = true
+		c.again(a, "failed")
+	case EndNotConnected:
+		c.failedTarget(a, true)
+		c.vacate(a)
+		a.unsent++
+		c.again(a, "not-connected")
+	case EndNotRun, EndMisdirected:
+		c.notRun(a, ev)
+	case EndBroken:
+		c.failedTarget(a, true)
+		c.vacate(a)
+		a.ran++
+		c.ranBroken(a.arrive.Fingerprint)
+		c.outbox.gossip.Suspects = append(c.outbox.gossip.Suspects, a.arrive.Fingerprint)
+		c.again(a, "broken")
+	case EndCallerGone:
+		c.vacate(a)
+		a.ran++
+		c.finish(a, Finish{Outcome: Left, Reason: "caller-left"})
+	}
+}
+
+// notRun goes on after a target said that it did not run the request.
+func (c *Core) notRun(a *active, ev AttemptEnd) {
+	a.tried = append(a.tried, a.target.ID)
+	culprit := a.target
+	if ev.Culprit != "" && ev.Culprit != a.target.Address {
+		for _, pl := range a.flights {
+			if pl.runner.Address == ev.Culprit {
+				culprit = pl.runner
+			}
+		}
+	}
+	if ev.End == EndMisdirected {
+		culprit.gone = true
+		c.log("target-gone", "target", culprit.ID, "why", "address-reused")
+	} else {
+		culprit.health.failed(c.now, 1, culprit != a.target)
+	}
+	c.vacate(a)
+	a.unsent++
+	c.again(a, ev.End.String())
+}
+
+// again makes another attempt if the route, the retry budget and the time allow
+// it, and ends the request otherwise.
+func (c *Core) again(a *active, reason string) {
+	switch {
+	case a.ran > 0 && !a.arrive.Route.Repeatable(),
+		a.ran >= max(1, a.arrive.Route.MaxAttempts),
+		a.unsent > maxUnsent:
+		c.giveUp(a, reason, minRetryAfter)
+	case c.suspicious(a.arrive.Fingerprint):
+		c.giveUp(a, "suspect-request", suspicionTime)
+	case !c.takeRepeat(a.service):
+		c.giveUp(a, "retry-budget", minRetryAfter)
+	default:
+		c.count("retries", reason)
+		c.dispatch(a)
+	}
+}
+
+// giveUp ends a request for which no further attempt is made. It is refused
+// only if nothing of it ran.
+func (c *Core) giveUp(a *active, reason string, retryAfter time.Duration) {
+	switch {
+	case a.answered && !a.begun:
+		c.finish(a, Finish{Outcome: Answered, Reason: reason})
+	case a.ran == 0 && !a.begun:
+		c.finish(a, Finish{Outcome: Refused, Reason: reason, RetryAfter: retryAfter})
+	default:
+		c.finish(a, Finish{Outcome: Failed, Reason: reason})
+	}
+}
+
+func (c *Core) finish(a *active, f Finish) {
+	if c.requests[a.arrive.Request] != a {
+		return
+	}
+	delete(c.requests, a.arrive.Request)
+	c.releaseTickets(a)
+	f.Request = a.arrive.Request
+	if f.Outcome != Answered || f.Reason != "" {
+		c.log("request-ended", "request", a.arrive.ID, "outcome", f.Outcome.String(), "reason", f.Reason,
+			"ran", a.ran, "unsent", a.unsent, "after_ms", int(ms(c.now-a.arrivedAt)),
+			"retry_after_ms", int(ms(f.RetryAfter)))
+	}
+	c.count("requests_ended", f.Outcome.String()+reasonSuffix(f.Reason))
+	c.emit(f)
+}
+
+func reasonSuffix(reason string) string {
+	if reason == "" {
+		return ""
+	}
+	return ":" + reason
+}
+
+var outcomeNames = [...]string{"answered", "refused", "failed", "timed-out", "left"}
+
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// timeUp ends a request whose time limit is reached.
+func (c *Core) timeUp(id RequestID) {
+	a := c.requests[id]
+	if a == nil {
+		return
+	}
+	if a.attempt != 0 {
+		c.emit(Cancel{Attempt: a.attempt})
+		a.ran++
+		c.vacate(a)
+	}
+	if a.ran == 0 {
+		c.finish(a, Finish{Outcome: Refused, Reason: "time-limit", RetryAfter: minRetryAfter})
+		return
+	}
+	c.finish(a, Finish{Outcome: TimedOut, Reason: "time-limit"})
+}
+
+// callerLeft ends a request whose caller is gone. A call that may not be
+// repeated runs on: cutting it would leave open how far it came.
+func (c *Core) callerLeft(ev CallerLeft) {
+	a := c.requests[ev.Request]
+	if a == nil {
+		return
+	}
+	if a.attempt != 0 {
+		if !a.arrive.Route.Repeatable() {
+			return
+		}
+		c.emit(Cancel{Attempt: a.attempt})
+		a.ran++
+		c.vacate(a)
+	}
+	c.finish(a, Finish{Outcome: Left, Reason: "caller-left"})
+}
--- /dev/null
+++ b/internal/fleetnode/mirror.go
@@ -0,0 +1,153 @@
+package fleetnode
+
+import (
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/go-logr/logr"
+
+	"github.com/medlardeck/medlardeck/internal/fleet"
+	"github.com/medlardeck/medlardeck/internal/follow"
+	"github.com/medlardeck/medlardeck/internal/forward"
+)
+
+// Decoder translates what the platform's store holds.
+type Decoder struct {
+	ConfigPrefix, ConfigKey, TargetsPrefix string
+	Config                                 func(raw []byte) (*fleet.Config, error)
+	Target                                 func(key string, raw []byte) (fleet.Target, error)
+	TargetID                               func(key string) string
+}
+
+// mirror hands what the store holds to the decisions, and keeps it for peers
+// that cannot reach the store.
+type mirror struct {
+	decode Decoder
+	node   *forward.Node
+	log    logr.Logger
+
+	mu            sync.Mutex
+	reachable     bool
+	known         bool // Reachable was called
+	configRaw     []byte
+	configVersion uint64
+	targets       map[string]follow.Item
+	revision      uint64
+}
+
+func newMirror(d Decoder, node *forward.Node, log logr.Logger) *mirror {
+	return &mirror{decode: d, node: node, log: log, targets: make(map[string]follow.Item)}
+}
+
+// Reachable implements follow.Handler.
+func (m *mirror) Reachable(ok bool, err error) {
+	m.mu.Lock()
+	changed := !m.known || ok != m.reachable
+	m.reachable, m.known = ok, true
+	m.mu.Unlock()
+	if !changed {
+		return
+	}
+	if err != nil {
+		m.log.Info("store-unreachable", "cause", err.Error())
+	}
+	m.node.Step(fleet.StoreSeen{Reachable: ok})
+}
+
+// Listed implements follow.Handler.
+func (m *mirror) Listed(items []follow.Item, revision uint64) {
+	var targets []fleet.Target
+	listed := make(map[string]follow.Item)
+	for _, item := range items {
+		if strings.HasPrefix(item.Key, m.decode.TargetsPrefix) {
+			listed[item.Key] = item
+			if t, ok := m.target(item); ok {
+				targets = append(targets, t)
+			}
+			continue
+		}
+		m.config(item)
+	}
+	m.mu.Lock()
+	m.targets, m.revision = listed, max(m.revision, revision)
+	m.mu.Unlock()
+	slices.SortFunc(targets, func(a, b fleet.Target) int { return strings.Compare(a.ID, b.ID) })
+	m.node.Step(fleet.TargetList{Targets: targets})
+}
+
+// Changed implements follow.Handler.
+func (m *mirror) Changed(items []follow.Item, revision uint64) {
+	for _, item := range items {
+		if !strings.HasPrefix(item.Key, m.decode.TargetsPrefix) {
+			m.config(item)
+			continue
+		}
+		m.mu.Lock()
+		if item.Removed {
+			delete(m.targets, item.Key)
+		} else {
+			m.targets[item.Key] = item
+		}
+		m.mu.Unlock()
+		if item.Removed {
+			m.node.Step(fleet.TargetRemoved{ID: m.decode.TargetID(item.Key)})
+		} else if t, ok := m.target(item); ok {
+			m.node.Step(fleet.TargetListed{Target: t})
+		}
+	}
+	m.mu.Lock()
+	m.revision = max(m.revision, revision)
+	m.mu.Unlock()
+}
+
+func (m *mirror) target(item follow.Item) (fleet.Target, bool) {
+	t, err := m.decode.Target(item.Key, item.Value)
+	if err != nil {
+		m.log.Info("target-ignored", "key", item.Key, "revision", item.Revision, "cause", err.Error())
+		return t, false
+	}
+	return t, true
+}
+
+func (m *mirror) config(item follow.Item) {
+	if item.Key != m.decode.ConfigKey || item.Removed {
+		return
+	}
+	m.adopt(item.Value)
+}
+
+// adopt takes a configuration from the store or a peer; older ones are ignored
+// by the decisions.
+func (m *mirror) adopt(raw []byte) {
+	config, err := m.decode.Config(raw)
+	if err != nil {
+		m.log.Info("configuration-rejected", "cause", err.Error())
+		return
+	}
+	m.mu.Lock()
+	newer := config.Version > m.configVersion
+	if newer {
+		m.configRaw, m.configVersion = raw, config.Version
+	}
+	m.mu.Unlock()
+	if newer {
+		m.node.Step(fleet.Configure{Config: config})
+	}
+}
+
+func (m *mirror) versions() (configVersion, revision uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.configVersion, m.revision
+}
+
+// snapshot returns what the mirror holds.
+func (m *mirror) snapshot() (config []byte, targets []follow.Item, revision uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, item := range m.targets {
+		targets = append(targets, item)
+	}
+	return m.configRaw, targets, m.revision
+}
--- /dev/null
+++ b/internal/forward/server.go
@@ -0,0 +1,122 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/medlardeck/medlardeck/internal/fleet"
+)
+
+// Limits on callers where the configuration names none.
+const (
+	defaultMaxBody  = 4 << 20
+	defaultTimeLeft = 60 * time.Second
+	// bodyTimeout bounds the reading of a body.
+	bodyTimeout = 15 * time.Second
+	// staleRetryAfter is the wait asked of callers while this instance cannot
+	// tell whether their route or key is known.
+	staleRetryAfter = time.Second
+)
+
+// ServeHTTP serves one request of a caller.
+func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	facts := n.opts.Dialect.ReadRequest(r.Header)
+	config, stale := n.Config()
+	body, err := readBody(w, r, config)
+	if err != nil {
+		n.rejectBody(w, facts, err)
+		return
+	}
+	if config == nil {
+		n.refuse(w, r, facts, "no-configuration")
+		return
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	route := config.Match(r.Host, path)
+	if route == nil {
+		n.deny(w, r, facts, http.StatusNotFound, "unknown-route", stale)
+		return
+	}
+	var caller *fleet.Workspace
+	if config.Authenticates() && !route.Anonymous {
+		if caller = config.Authenticate(facts.Key); caller == nil {
+			n.deny(w, r, facts, http.StatusUnauthorized, "unknown-key", stale)
+			return
+		}
+	}
+	x := newExchange(n, w, r, facts, body, route)
+	left := facts.TimeLeft
+	if left == 0 {
+		left = defaultTimeLeft
+	}
+	n.submit(fleet.Arrive{
+		ID: facts.ID, Route: route, Config: config, Caller: caller,
+		PromptTokens: facts.PromptTokens, MaxAnswerTokens: facts.MaxAnswerTokens,
+		ResumeAfter: x.lastID, Fingerprint: fingerprint(r, facts.Key, body),
+	}, left, x)
+	defer context.AfterFunc(r.Context(), func() { n.Step(fleet.CallerLeft{Request: x.id}) })()
+	x.run()
+}
+
+// fingerprint identifies a request that its caller sends again.
+func fingerprint(r *http.Request, key string, body []byte) uint64 {
+	d := xxhash.New()
+	for _, s := range []string{r.Method, r.Host, r.RequestURI, key} {
+		_, _ = d.WriteString(s) // a digest takes every write
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(body)
+	return d.Sum64()
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, config *fleet.Config) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	limit := int64(defaultMaxBody)
+	if config != nil && config.Limits.MaxBodyBytes > 0 {
+		limit = int64(config.Limits.MaxBodyBytes)
+	}
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
+	return io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+}
+
+func (n *Node) rejectBody(w http.ResponseWriter, facts Facts, err error) {
+	var tooLarge *http.MaxBytesError
+	status, reason := http.StatusBadRequest, "bad-body"
+	if errors.As(err, &tooLarge) {
+		status, reason = http.StatusRequestEntityTooLarge, "body-too-large"
+	}
+	n.opts.Log.Info("request-rejected", "request", facts.ID, "status", status, "reason", reason, "cause", err.Error())
+	n.opts.Metrics.Add("rejections", reason)
+	n.opts.Dialect.NameAnswer(w.Header(), facts.ID)
+	w.Header().Set("Connection", "close")
+	http.Error(w, reason, status)
+}
+
+// deny answers a request that the configuration does not allow. An instance
+// whose configuration may be out of date refuses it instead.
+func (n *Node) deny(w http.ResponseWriter, r *http.Request, facts Facts, status int, reason string, stale bool) {
+	if stale {
+		n.refuse(w, r, facts, reason+"-perhaps")
+		return
+	}
+	n.opts.Log.Info("request-denied", "request", facts.ID, "status", status, "reason", reason, "host", r.Host, "path", r.URL.Path)
+	n.opts.Metrics.Add("denials", reason)
+	n.opts.Dialect.NameAnswer(w.Header(), facts.ID)
+	http.Error(w, reason, status)
+}
+
+func (n *Node) refuse(w http.ResponseWriter, r *http.Request, facts Facts, reason string) {
+	n.opts.Log.Info("request-refused", "request", facts.ID, "reason", reason, "host", r.Host)
+	n.opts.Metrics.Add("refusals", reason)
+	n.fail(w, facts.ID, fleet.Finish{Outcome: fleet.Refused, Reason: reason, RetryAfter: staleRetryAfter})
+}
