Fleet: one watch for the whole store, renewed three times in the configuration's time

Ruled out: a lost event, the peers (all were as deaf). Change: one watch of all keys in place of two, each waiting a third of the time in which a configuration has to be in force; requests wait up to 0.3 s for the first configuration after a start.

--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -36,7 +36,7 @@
 	instance, err := fleetnode.Start(fleetnode.Options{
 		Settings: settings, Store: platform.NewStore(settings.StoreAddress),
 		Decoder: fleetnode.Decoder{
-			ConfigPrefix: platform.ConfigPrefix, ConfigKey: platform.ConfigKey, TargetsPrefix: platform.TargetsPrefix,
+			ConfigKey: platform.ConfigKey, TargetsPrefix: platform.TargetsPrefix,
 			Config: platform.DecodeConfig, Target: platform.DecodeTarget, TargetID: platform.TargetID,
 		},
 		Dialect: platform.Dialect{}, Orders: platform.NewOrders(), Policy: fleet.Policy(*policy),
--- a/internal/fleetnode/mirror.go
+++ b/internal/fleetnode/mirror.go
@@ -14,10 +14,10 @@
 
 // Decoder translates what the platform's store holds.
 type Decoder struct {
-	ConfigPrefix, ConfigKey, TargetsPrefix string
-	Config                                 func(raw []byte) (*fleet.Config, error)
-	Target                                 func(key string, raw []byte) (fleet.Target, error)
-	TargetID                               func(key string) string
+	ConfigKey, TargetsPrefix string
+	Config                   func(raw []byte) (*fleet.Config, error)
+	Target                   func(key string, raw []byte) (fleet.Target, error)
+	TargetID                 func(key string) string
 }
 
 // mirror hands what the store holds to the decisions, and keeps it for peers
@@ -27,6 +27,9 @@
 	node   *forward.Node
 	log    logr.Logger
 
+	// onInstance is told the address of each instance in the store.
+	onInstance func(address string)
+
 	mu            sync.Mutex
 	reachable     bool
 	known         bool // Reachable was called
@@ -67,7 +70,7 @@
 			}
 			continue
 		}
-		m.config(item)
+		m.other(item)
 	}
 	m.mu.Lock()
 	m.targets, m.revision = listed, max(m.revision, revision)
@@ -80,7 +83,7 @@
 func (m *mirror) Changed(items []follow.Item, revision uint64) {
 	for _, item := range items {
 		if !strings.HasPrefix(item.Key, m.decode.TargetsPrefix) {
-			m.config(item)
+			m.other(item)
 			continue
 		}
 		m.mu.Lock()
@@ -110,11 +113,15 @@
 	return t, true
 }
 
-func (m *mirror) config(item follow.Item) {
-	if item.Key != m.decode.ConfigKey || item.Removed {
-		return
+// other takes an item that is no target.
+func (m *mirror) other(item follow.Item) {
+	switch {
+	case item.Removed:
+	case item.Key == m.decode.ConfigKey:
+		m.adopt(item.Value)
+	case strings.HasPrefix(item.Key, presencePrefix):
+		m.onInstance(string(item.Value))
 	}
-	m.adopt(item.Value)
 }
 
 // adopt takes a configuration from the store or a peer; older ones are ignored
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -38,6 +38,9 @@
 	// presenceTTL is the lifetime of the address in the store; an address that
 	// is out of date costs its peers a datagram now and then.
 	presenceTTL = 10 * time.Minute
+	// watchesPerLag is how often the watch is renewed in the time in which a
+	// configuration has to be in force: one that fell silent shows only then.
+	watchesPerLag = 3
 	// presencePrefix is where instances write their addresses.
 	presencePrefix = "instances/"
 )
@@ -109,6 +112,7 @@
 		},
 	})
 	i.mirror = newMirror(opts.Decoder, i.node, opts.Log)
+	i.mirror.onInstance = i.instance
 	g.versions = i.mirror.versions
 	if i.exchange, err = listenExchange(s, i.mirror, opts.Log); err != nil {
 		i.Close()
@@ -147,27 +151,17 @@
 	return h.Sum64()
 }
 
-// follow reads the store: the configuration, the targets, and once the
-// addresses of the other instances.
+// follow reads the whole store: the configuration, the targets, and the
+// addresses of the other instances. One watch for all costs the fewest calls.
 func (i *Instance) follow() {
-	d := &i.opts.Decoder
-	config := &follow.Follower{Source: i.opts.Store, Prefix: d.ConfigPrefix, Handler: configOnly{i.mirror}}
-	targets := &follow.Follower{Source: i.opts.Store, Prefix: d.TargetsPrefix, Handler: i.mirror, Relist: true}
-	go config.Run(i.ctx)
-	go targets.Run(i.ctx)
+	f := &follow.Follower{
+		Source: i.opts.Store, Handler: i.mirror, Relist: true, Wait: i.opts.Settings.ConfigLag / watchesPerLag,
+	}
+	go f.Run(i.ctx)
 	go i.appear()
 }
 
-// configOnly hands only the configuration to the mirror: what the other
-// follower sees decides whether the store is in reach.
-type configOnly struct{ *mirror }
-
-func (c configOnly) Listed(items []follow.Item, _ uint64) { c.Changed(items, 0) }
-
-func (c configOnly) Reachable(bool, error) {}
-
-// appear writes this instance's address into the store and reads those of the
-// others. Instances that start later send their first message here.
+// appear writes this instance's address into the store, where the others see it.
 func (i *Instance) appear() {
 	s := &i.opts.Settings
 	for wait := 500 * time.Millisecond; i.ctx.Err() == nil; wait = min(2*wait, 8*time.Second) {
@@ -189,21 +183,7 @@
 	if err != nil {
 		return err
 	}
-	if err := i.opts.Store.Put(i.ctx, presencePrefix+s.Name, []byte(address), lease); err != nil {
-		return err
-	}
-	items, _, err := i.opts.Store.List(i.ctx, presencePrefix)
-	if err != nil {
-		return err
-	}
-	for _, item := range items {
-		if a, err := netip.ParseAddrPort(string(item.Value)); err == nil {
-			i.gossip.add(a)
-		} else {
-			i.opts.Log.Info("peer-ignored", "key", item.Key, "cause", err.Error())
-		}
-	}
-	return nil
+	return i.opts.Store.Put(i.ctx, presencePrefix+s.Name, []byte(address), lease)
 }
 
 func (i *Instance) listen(metrics *telemetry.Metrics) error {
@@ -278,3 +258,13 @@
 	_ = i.gossip.conn.Close()
 	i.node.Close()
 }
+
+// instance takes the address of another instance from the store.
+func (i *Instance) instance(address string) {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		i.opts.Log.Info("peer-ignored", "address", address, "cause", err.Error())
+		return
+	}
+	i.gossip.add(a)
+}
--- a/internal/fleetnode/settings.go
+++ b/internal/fleetnode/settings.go
@@ -25,6 +25,8 @@
 	PeerPort, ExchangePort int
 	// Seeds are peer addresses, host:port, that may be out of date.
 	Seeds []string
+	// ConfigLag is the time in which a configuration has to be in force.
+	ConfigLag time.Duration
 	// StopGrace is the time from the order to stop until the process is killed.
 	StopGrace time.Duration
 	// RetryRatio, RetrySlack and RetryWindow bound repeated sends; see
@@ -56,9 +58,9 @@
 	if s.PeerPort <= 0 || s.ExchangePort <= 0 {
 		faults = append(faults, errors.New("no ports for peers"))
 	}
-	if s.StopGrace <= 0 || s.RetryWindow <= 0 || s.TicketHold <= 0 {
-		faults = append(faults, fmt.Errorf("stop grace %v, retry window %v and ticket hold %v must be above zero",
-			s.StopGrace, s.RetryWindow, s.TicketHold))
+	if s.StopGrace <= 0 || s.ConfigLag <= 0 || s.RetryWindow <= 0 || s.TicketHold <= 0 {
+		faults = append(faults, fmt.Errorf("stop grace %v, configuration lag %v, retry window %v and ticket hold %v must be above zero",
+			s.StopGrace, s.ConfigLag, s.RetryWindow, s.TicketHold))
 	}
 	if s.RetryRatio < 0 || s.RetrySlack < 0 {
 		faults = append(faults, errors.New("retry ratio and slack must not be negative"))
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -44,9 +44,6 @@
 
 // Times of a Follower.
 const (
-	// waitTime is how long a watch waits for a change. It bounds the time after
-	// which a watch that fell silent is noticed; each call has its price.
-	waitTime = 20 * time.Second
 	// listTimeout bounds a list; the store answers in milliseconds when well.
 	listTimeout = 2 * time.Second
 	// firstBackoff and maxBackoff bound the wait after a failed call.
@@ -65,6 +62,9 @@
 	// Relist asks for the whole list some time after an outage, since entries
 	// with leases lapse and come back around it.
 	Relist bool
+	// Wait is how long a watch waits for a change. It bounds the time after which
+	// a watch that fell silent is noticed; each call has its price.
+	Wait time.Duration
 }
 
 // Run follows until ctx ends.
@@ -116,7 +116,7 @@
 }
 
 func (f *Follower) changes(ctx context.Context, after uint64, relistAt time.Time) (uint64, error) {
-	wait := waitTime
+	wait := f.Wait
 	if !relistAt.IsZero() {
 		wait = max(time.Millisecond, min(wait, time.Until(relistAt)))
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -86,8 +86,11 @@
 	timer     *time.Timer
 	armed     time.Duration
 	drained   chan struct{}
-	ctx       context.Context
-	cancel    context.CancelFunc
+	// configured is closed when a configuration is in force.
+	configured     chan struct{}
+	configuredOnce sync.Once
+	ctx            context.Context
+	cancel         context.CancelFunc
 }
 
 // NewNode returns a running node; Close ends it.
@@ -96,7 +99,7 @@
 	n := &Node{
 		opts: opts, clock: newClock(), pool: newPool(), core: fleet.New(opts.Fleet),
 		exchanges: make(map[fleet.RequestID]*exchange), attempts: make(map[fleet.AttemptID]*exchange),
-		drained: make(chan struct{}), ctx: ctx, cancel: cancel, armed: -1,
+		drained: make(chan struct{}), configured: make(chan struct{}), ctx: ctx, cancel: cancel, armed: -1,
 	}
 	n.timer = time.AfterFunc(0, func() { n.Step(fleet.Tick{}) })
 	return n
@@ -127,6 +130,9 @@
 	for _, eff := range n.core.Step(n.clock.now(), ev) {
 		n.carryOut(eff)
 	}
+	if _, ok := ev.(fleet.Configure); ok && n.core.Config() != nil {
+		n.configuredOnce.Do(func() { close(n.configured) })
+	}
 	at, ok := n.core.Next()
 	if ok && (at != n.armed) {
 		n.armed = at
@@ -134,6 +140,18 @@
 	}
 }
 
+// awaitConfig waits a moment for the first configuration, so that callers of an
+// instance that has just started need not come again.
+func (n *Node) awaitConfig(ctx context.Context) {
+	timer := time.NewTimer(configPatience)
+	defer timer.Stop()
+	select {
+	case <-n.configured:
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // Config returns the configuration in force, nil before the first, and whether
 // the store is out of reach, so that a newer one may be in force elsewhere.
 func (n *Node) Config() (config *fleet.Config, stale bool) {
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -19,6 +19,9 @@
 	defaultTimeLeft = 60 * time.Second
 	// bodyTimeout bounds the reading of a body.
 	bodyTimeout = 15 * time.Second
+	// configPatience is how long a request waits for the first configuration,
+	// which takes one call to the store.
+	configPatience = 300 * time.Millisecond
 	// staleRetryAfter is the wait asked of callers while this instance cannot
 	// tell whether their route or key is known.
 	staleRetryAfter = time.Second
@@ -27,6 +30,7 @@
 // ServeHTTP serves one request of a caller.
 func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	facts := n.opts.Dialect.ReadRequest(r.Header)
+	n.awaitConfig(r.Context())
 	config, stale := n.Config()
 	body, err := readBody(w, r, config)
 	if err != nil {
