--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -43,6 +43,9 @@
 	TargetLatency time.Duration
 	// MaxPause is the longest pause between events that callers are content with.
 	MaxPause time.Duration
+	// CallerPatience is how long callers of a stream wait for the first event, and
+	// between events, before they leave; zero when only their deadline counts.
+	CallerPatience time.Duration
 	// Priority ranks the route; 0 is the most urgent.
 	Priority    int
 	Backends    []Backend
--- a/internal/fleet/model.go
+++ b/internal/fleet/model.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -25,9 +26,13 @@
 	return e.PerSequenceMS + e.ContextMSPerK*contextTokens/1000
 }
 
-// passReadMS returns the longest time that one pass with writers spends reading.
-func (e *Engine) passReadMS() float64 {
-	return float64(e.Stride*e.Chunk) / e.PrefillPerMS
+// reading is a prompt, or a part of one, that waits to be read.
+type reading struct {
+	ms     float64 // left to read
+	chunks float64 // steps that it takes
+	// value and within are those of the request, and the milliseconds in which
+	// its first event satisfies the caller.
+	value, within float64
 }
 
 // load is the predicted state of one engine at one moment.
@@ -38,45 +43,97 @@
 	step     float64 // milliseconds of one step with all present writers
 	writers  int
 	memory   int // tokens taken or promised
-	tightest float64
+	// queue is what waits to be read, in its order; the first parts entries are
+	// parts for other engines.
+	queue []reading
+	parts int
+	// worstPass is the longest pass while the queue is read.
+	worstPass float64
 }
 
 // loadOf sums up an engine's requests.
 func (r *runner) loadOf(e *Engine) load {
-	l := load{step: e.StepMS, tightest: math.Inf(1)}
+	l := load{step: e.StepMS}
 	for _, f := range r.flights {
 		if f.Part {
 			l.helping++
 		} else {
 			l.requests++
 		}
-		l.unread += f.unreadMS
 		l.memory += f.MemoryTokens
 		// A request that is still read becomes a writer soon.
 		l.step += e.writerMS(float64(f.ContextTokens))
 		if f.begun {
 			l.writers++
 		}
-		if !f.Part && f.MaxPauseMS > 0 {
-			l.tightest = min(l.tightest, float64(f.MaxPauseMS))
+		if f.unreadMS <= 0 {
+			continue
+		}
+		l.unread += f.unreadMS
+		l.queue = append(l.queue, reading{
+			ms: f.unreadMS, chunks: e.chunks(f.ContextTokens) * f.unreadMS / f.ReadMS,
+			value: f.Value, within: float64(f.FirstWithinMS) - ms(r.advancedAt-f.seenAt) - float64(f.AgeMS),
+		})
+		if f.Part {
+			l.parts++
 		}
 	}
+	_, l.worstPass = e.readAll(l.queue, l.step, -1)
 	return l
 }
 
-// pass returns the predicted time of a pass in milliseconds while readMS of
-// reading waits.
-func (e *Engine) pass(l load, readMS float64) float64 {
-	return float64(e.Stride)*l.step + min(readMS, e.passReadMS())
+// chunks returns the number of steps in which tokens are read.
+func (e *Engine) chunks(tokens int) float64 { return math.Ceil(float64(tokens) / float64(e.Chunk)) }
+
+// readAll predicts the reading of a queue beside writers whose steps take
+// stepMS: when the entry at index is read, in milliseconds from now, and how
+// long the longest pass is.
+func (e *Engine) readAll(queue []reading, stepMS float64, index int) (readAt, worstPass float64) {
+	steps := float64(e.Stride) * stepMS
+	room, pass := float64(e.Stride), steps
+	worstPass = pass
+	var now float64
+	for i, q := range queue {
+		left := q
+		for left.chunks > 0 {
+			n := min(room, left.chunks)
+			t := left.ms * n / left.chunks
+			left.ms, left.chunks = left.ms-t, left.chunks-n
+			room, pass, now = room-n, pass+t, now+t
+			worstPass = max(worstPass, pass)
+			if room <= 0 {
+				room, pass, now = float64(e.Stride), steps, now+steps
+			}
+		}
+		if i == index {
+			readAt = now
+		}
+	}
+	return readAt, worstPass
+}
+
+// with returns the queue with one more entry, and its index. Parts for other
+// engines go before the engine's own prompts.
+func (l *load) with(r reading, part bool) (queue []reading, index int) {
+	index = len(l.queue)
+	if part {
+		index = l.parts
+	}
+	return slices.Insert(slices.Clone(l.queue), index, r), index
 }
 
+// slotWaitSpread is how much longer than on average a wait for a slot is taken to
+// be: nine in ten exponential waits are shorter than 2.3 means.
+const slotWaitSpread = 2.3
+
 // slotWait returns the predicted milliseconds until a slot is free.
 func (r *runner) slotWait(e *Engine, l load) float64 {
-	over := l.requests - r.Slots
-	if over < 0 {
+	over := l.requests - r.Slots + 1
+	if over <= 0 {
 		return 0
 	}
-	// Requests end at about even distances over the usual time of an answer.
+	// Requests end over the usual time of an answer at distances that vary as
+	// much as they are long.
 	whole := float64(e.UsualAnswer) * l.step
-	return whole * float64(over+1) / float64(max(1, r.Slots))
+	return slotWaitSpread * whole * float64(over) / float64(max(1, r.Slots))
 }
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -152,11 +152,13 @@
 	for _, key := range g.Begun {
 		if pl, ok := p.flights[key]; ok && !pl.flight.begun {
 			pl.runner.firstEvent(c.now, pl.flight)
+			pl.runner.aliveAt = c.now
 			pl.runner.health.succeeded()
 		}
 	}
 	for _, key := range g.Ended {
 		if pl, ok := p.flights[key]; ok {
+			pl.runner.aliveAt = c.now
 			pl.runner.end(c.now, pl.flight)
 			delete(p.flights, key)
 		}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"strings"
 )
 
 // Policy is a way to choose targets.
@@ -33,9 +34,6 @@
 	// sendMS is the time that a request and its first event travel, beside the
 	// target's work: reading it, two hops, and writing it.
 	sendMS = 8
-	// maxHelpers is the largest number of targets that read parts of a prompt
-	// beside the first one, by the engines' protocol.
-	maxHelpers = 15
 	// packing is the preference for a target that is already busy with short
 	// requests over an idle one, as a share of a request's value: idle targets
 	// are kept for long prompts.
@@ -53,6 +51,9 @@
 	shortShare = 0.25
 )
 
+// partCounts are the numbers of even parts that a prompt may be read in.
+var partCounts = []int{1, 2, 3, 4, 6, 8, 12, 16}
+
 // onTime returns the chance that something predicted to take that long stays
 // within the limit.
 func onTime(predicted, limit float64) float64 {
@@ -71,10 +72,22 @@
 	// firstEventMS is the predicted time to the first event.
 	firstEventMS float64
 	readMS       float64 // of each part
+	// inTime is the chance that the request satisfies its caller, harm the value
+	// that others lose.
+	inTime, harm float64
 }
 
 func (p *plan) parts() int { return 1 + len(p.helpers) }
 
+// helperIDs lists the helpers for the log.
+func (p *plan) helperIDs() string {
+	ids := make([]string, len(p.helpers))
+	for i, h := range p.helpers {
+		ids[i] = h.ID
+	}
+	return strings.Join(ids, ",")
+}
+
 // value is what a request that is served in time is worth.
 func value(promptTokens int) float64 { return 1 + float64(promptTokens)/tokensPerValue }
 
@@ -155,8 +168,8 @@
 	}
 	best := plan{score: math.Inf(-1)}
 	alone := e.readMS(a.arrive.PromptTokens, 1)
-	for parts := 1; parts <= min(maxHelpers+1, len(cands)); parts *= 2 {
-		if parts > 1 && alone < a.shortMS() {
+	for _, parts := range partCounts {
+		if parts > len(cands) || parts > 1 && alone < a.shortMS() {
 			break
 		}
 		if p, ok := c.bestOf(a, e, cands, parts); ok && p.score > best.score {
@@ -172,32 +185,32 @@
 // shortMS is the longest reading time of a request that counts as short.
 func (a *active) shortMS() float64 { return shortShare * ms(a.arrive.Route.MaxPause) }
 
-// bestOf returns the best plan with that many parts.
+// bestOf returns the best plan with that many parts. The memory of the parts is
+// set aside at the helpers if no target has room for the whole.
 func (c *Core) bestOf(a *active, e *Engine, cands []candidate, parts int) (plan, bool) {
-	read := e.readMS(a.arrive.PromptTokens, parts)
-	need := a.memoryTokens()
-	ticketed := need > e.MemoryTokens*9/10
-	if ticketed && parts == 1 {
-		return plan{}, false
-	}
-	firstNeed, helperNeed := need, 0
-	if ticketed {
-		helperNeed = need/parts + 1
-		firstNeed = helperNeed
+	if p, ok := c.bestWith(a, e, cands, parts, a.memoryTokens(), 0); ok || parts == 1 {
+		return p, ok
 	}
+	share := a.memoryTokens()/parts + 1
+	p, ok := c.bestWith(a, e, cands, parts, share, share)
+	p.ticketed = true
+	return p, ok
+}
+
+// bestWith is bestOf with the memory needed at the first target and at helpers.
+func (c *Core) bestWith(a *active, e *Engine, cands []candidate, parts, firstNeed, helperNeed int) (plan, bool) {
+	read := reading{ms: e.readMS(a.arrive.PromptTokens, parts), chunks: e.chunks(a.arrive.PromptTokens / parts)}
+	best := plan{score: math.Inf(-1)}
 	helpers := c.pickHelpers(a, e, cands, parts-1, read, helperNeed)
 	if len(helpers) < parts-1 {
 		return plan{}, false
 	}
-	best := plan{score: math.Inf(-1)}
 	for i := range cands {
 		cand := &cands[i]
-		if parts > 1 && slices.Contains(helpers, cand) || cand.load.memory+firstNeed > e.MemoryTokens {
+		if slices.Contains(helpers, cand) || cand.load.memory+firstNeed > e.MemoryTokens {
 			continue
 		}
-		p := c.score(a, e, cand, helpers, read)
-		p.ticketed = ticketed
-		if p.score > best.score {
+		if p := c.score(a, e, cand, helpers, read); p.score > best.score {
 			best = p
 		}
 	}
@@ -205,7 +218,7 @@
 }
 
 // pickHelpers returns the targets that lose least by reading a part.
-func (c *Core) pickHelpers(a *active, e *Engine, cands []candidate, n int, read float64, memory int) []*candidate {
+func (c *Core) pickHelpers(a *active, e *Engine, cands []candidate, n int, read reading, memory int) []*candidate {
 	if n == 0 {
 		return nil
 	}
@@ -219,7 +232,7 @@
 		if cand.load.helping >= cand.Slots || cand.load.memory+memory > e.MemoryTokens {
 			continue
 		}
-		losses = append(losses, loss{cand, c.harm(e, cand, read, 0) + farCost*c.far(cand.runner) + 0.01*cand.load.unread/1000})
+		losses = append(losses, loss{cand, c.harm(e, cand, read, true, 0) + delayCost*cand.load.unread/1000 + farCost*c.far(cand.runner)})
 	}
 	slices.SortStableFunc(losses, func(a, b loss) int { return cmp.Compare(a.harm, b.harm) })
 	var out []*candidate
@@ -237,87 +250,88 @@
 	return 1
 }
 
-// harm is the value that requests at the target lose when it reads that long
-// for another one, whose writing adds writerMS to each step.
-func (c *Core) harm(e *Engine, cand *candidate, readMS, writerMS float64) float64 {
-	if math.IsInf(cand.load.tightest, 1) {
+// harm is the value that requests at the target lose when it reads that much for
+// another one, whose writing adds writerMS to each step.
+func (c *Core) harm(e *Engine, cand *candidate, r reading, part bool, writerMS float64) float64 {
+	if len(cand.flights) == 0 {
 		return 0
 	}
-	before := e.pass(cand.load, cand.load.unread)
-	grown := cand.load
-	grown.step += writerMS
-	after := e.pass(grown, cand.load.unread+readMS)
+	queue, _ := cand.load.with(r, part)
+	_, after := e.readAll(queue, cand.load.step+writerMS, -1)
 	var lost float64
+	if part {
+		lost = cand.load.delayLoss(r.ms)
+	}
 	for _, f := range cand.flights {
-		if f.MaxPauseMS > 0 {
+		if f.MaxPauseMS > 0 && !f.Part {
 			g := float64(f.MaxPauseMS)
-			lost += f.Value * (1 - lateShare) * (onTime(before, g) - onTime(after, g))
+			lost += f.Value * (1 - lateShare) * (onTime(cand.load.worstPass, g) - onTime(after, g))
+		}
+	}
+	return lost
+}
+
+// delayLoss is the value that prompts in the queue lose when a part for another
+// engine, which goes first, delays them.
+func (l *load) delayLoss(delayMS float64) float64 {
+	var lost, ahead float64
+	for i, q := range l.queue {
+		ahead += q.ms
+		if i >= l.parts && q.within > 0 {
+			lost += q.value * (1 - lateShare) * (onTime(ahead, q.within) - onTime(ahead+delayMS, q.within))
 		}
 	}
 	return lost
 }
 
 // score predicts what a plan is worth.
-func (c *Core) score(a *active, e *Engine, first *candidate, helpers []*candidate, read float64) plan {
+func (c *Core) score(a *active, e *Engine, first *candidate, helpers []*candidate, read reading) plan {
 	parts := 1 + len(helpers)
 	context := float64(a.arrive.PromptTokens) / float64(parts)
 	writer := e.writerMS(context)
 	if parts > 1 {
 		writer += e.HopMS
 	}
-	grown := first.load
-	grown.step += writer
-	firstEvent := c.firstEventMS(e, first, grown, read)
-	harm := c.harm(e, first, read, writer)
+	step := first.load.step + writer
+	firstPass := float64(e.Stride) * step
+	readAt, worst := e.readBeside(first, read, false, step)
+	firstEvent := first.slotWait(e, first.load) + readAt
+	harm := c.harm(e, first, read, false, writer)
 	for _, h := range helpers {
-		firstEvent = max(firstEvent, c.partMS(e, h, read)+float64(e.Stride)*grown.step)
-		harm += c.harm(e, h, read, e.writerMS(context))
+		at, _ := e.readBeside(h, read, true, h.load.step)
+		firstEvent = max(firstEvent, at)
+		harm += c.harm(e, h, read, true, e.writerMS(context))
 	}
+	firstEvent += firstPass
 	full := a.value
 	limit := ms(a.arrive.Route.TargetLatency - (c.now - a.arrivedAt))
 	inTime := onTime(firstEvent+sendMS, limit)
 	if pause := ms(a.arrive.Route.MaxPause); pause > 0 {
-		inTime *= onTime(e.pass(grown, first.load.unread), pause)
+		inTime *= onTime(min(worst, firstPass*2), pause)
 	}
 	gain := full * (lateShare + (1-lateShare)*inTime)
-	if firstEvent > ms(a.deadline-c.now) {
+	if firstEvent > ms(a.firstBy()-c.now) {
 		gain = 0
 	}
 	score := gain - harm - full*(helperCost*float64(parts-1)+farCost*c.far(first.runner))
 	score -= full * delayCost * min(1, firstEvent/max(1, ms(a.arrive.Route.TargetLatency)))
-	if parts == 1 && read < a.shortMS() {
+	if parts == 1 && read.ms < a.shortMS() {
 		score += full * packing * min(1, float64(first.load.requests)/float64(max(1, first.Slots)))
 	}
-	p := plan{first: first.runner, score: score, firstEventMS: firstEvent, readMS: read}
+	p := plan{first: first.runner, score: score, firstEventMS: firstEvent, readMS: read.ms, inTime: inTime, harm: harm}
 	for _, h := range helpers {
 		p.helpers = append(p.helpers, h.runner)
 	}
 	return p
 }
 
-// firstEventMS predicts the time to the first event of a request whose reading
-// takes readMS.
-func (c *Core) firstEventMS(e *Engine, first *candidate, grown load, readMS float64) float64 {
-	pass := float64(e.Stride) * first.load.step
-	wait := first.slotWait(e, first.load)
-	reading := first.load.unread + readMS
-	var between float64
-	if first.load.writers > 0 {
-		between = pass * (0.5 + math.Floor(reading/e.passReadMS()))
-	}
-	return wait + reading + between + float64(e.Stride)*grown.step
-}
-
-// partMS predicts when a helper has read its part.
-func (c *Core) partMS(e *Engine, h *candidate, readMS float64) float64 {
-	var ahead float64
-	for _, f := range h.flights {
-		if f.Part {
-			ahead += f.unreadMS
-		}
-	}
-	if h.load.writers > 0 {
-		ahead += 0.5 * float64(e.Stride) * h.load.step
+// readBeside predicts when a prompt, or a part of one, is read at the target,
+// and the longest pass meanwhile. A pass that runs has to end first.
+func (e *Engine) readBeside(cand *candidate, r reading, part bool, stepMS float64) (readAt, worstPass float64) {
+	queue, index := cand.load.with(r, part)
+	readAt, worstPass = e.readAll(queue, cand.load.step, index)
+	if cand.load.writers > 0 {
+		readAt += float64(e.Stride) * cand.load.step / 2
 	}
-	return ahead + readMS
+	return readAt, max(worstPass, float64(e.Stride)*stepMS)
 }
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -13,6 +13,8 @@
 	// stallFactor is how many times the predicted time to the first event a
 	// target may take before it counts as silent.
 	stallFactor = 2.5
+	// waitStep is the time between two looks for room: about a pass of an engine.
+	waitStep = 40 * time.Millisecond
 	// maxUnsent bounds the sends of one request that ended without a run.
 	maxUnsent = 3
 	// minRetryAfter is the shortest time after which a refused caller is told to
@@ -23,6 +25,19 @@
 	noTargetRetryAfter = time.Second
 )
 
+// Bounds of requests that will be late.
+const (
+	// hopeless is the chance to be in time below which a request yields.
+	hopeless = 0.15
+	// calmHarm is the share of a late request's value that others may lose by it,
+	// and calmBacklog the share of its reading that may wait before it.
+	calmHarm    = 0.05
+	calmBacklog = 0.25
+	// yieldMargin is the multiple of its reading time that a request keeps in
+	// hand when it yields.
+	yieldMargin = 1.5
+)
+
 // active is one request between Arrive and Finish.
 type active struct {
 	arrive    Arrive
@@ -31,20 +46,23 @@
 	arrivedAt time.Duration
 	deadline  time.Duration
 
-	attempt  AttemptID // current, 0 for none
-	target   *runner   // of the current attempt
-	flights  []placed  // loads of the current attempt
-	ran      int       // attempts that ran or may have
-	unsent   int       // attempts that did not run
-	tried    []string  // ids of targets that failed the request
-	begun    bool      // an event or more went to the caller
-	fresh    bool      // the current attempt has sent an event
-	sentAt   time.Duration
-	lastAt   time.Duration // of the last event
-	stallAt  time.Duration
-	lastID   string
-	last     AttemptEnd
-	answered bool // the last attempt ended with an answer that may be passed on
+	attempt      AttemptID // current, 0 for none
+	target       *runner   // of the current attempt
+	flights      []placed  // loads of the current attempt
+	ran          int       // attempts that ran or may have
+	unsent       int       // attempts that did not run
+	tried        []string  // ids of targets that failed the request
+	waiting      bool      // for room at the targets
+	begun        bool      // an event or more went to the caller
+	fresh        bool      // the current attempt has sent an event
+	sentAt       time.Duration
+	lastAt       time.Duration // of the last event
+	stallAt      time.Duration
+	firstAt      time.Duration // from arrival to the first event
+	longestPause time.Duration
+	lastID       string
+	last         AttemptEnd
+	answered     bool // the last attempt ended with an answer that may be passed on
 
 	reservation *reservation
 }
@@ -88,34 +106,76 @@
 	return ""
 }
 
-// dispatch chooses targets and sends an attempt, or ends the request.
+// dispatch chooses targets and sends an attempt, lets the request wait for
+// memory, or ends it.
 func (c *Core) dispatch(a *active) {
 	p := c.choose(a)
-	if p.first == nil {
-		c.noTarget(a)
-		return
-	}
-	if p.ticketed {
+	switch {
+	case p.first == nil && c.mayWait(a):
+		c.wait(a)
+	case p.first != nil && c.yields(a, p):
+		c.wait(a)
+	case p.first == nil:
+		c.giveUp(a, "no-target", noTargetRetryAfter)
+	case p.ticketed:
 		c.reserve(a, p)
-		return
+	default:
+		c.send(a, p, nil)
 	}
-	c.send(a, p, nil)
 }
 
-func (c *Core) noTarget(a *active) {
-	reason := "no-target"
-	for _, r := range c.serviceRunners(a.service) {
-		if !r.gone && !r.leaving {
-			reason = "no-memory"
-		}
+// firstBy is when the first event has to reach the caller at the latest.
+func (a *active) firstBy() time.Duration {
+	if p := a.arrive.Route.CallerPatience; p > 0 && !a.begun {
+		return min(a.deadline, a.arrivedAt+p)
 	}
-	c.giveUp(a, reason, noTargetRetryAfter)
+	return a.deadline
+}
+
+// yields reports whether a request that will be late anyway had better wait: as
+// long as it can still be answered, requests that can be in time go first.
+func (c *Core) yields(a *active, p plan) bool {
+	e := c.engine(a)
+	if e == nil || p.inTime >= hopeless || p.readMS < a.shortMS() || a.begun {
+		return false
+	}
+	calm := p.harm < calmHarm*a.value && p.first.loadOf(e).unread < p.readMS*calmBacklog
+	alone := fromMS(e.readMS(a.arrive.PromptTokens, 1) * yieldMargin)
+	return !calm && c.now+alone < a.firstBy()
+}
+
+// mayWait reports whether targets are there that may have room for the request
+// in time.
+func (c *Core) mayWait(a *active) bool {
+	e := c.engine(a)
+	pool := c.candidates(a)
+	if e == nil || len(pool) == 0 || a.memoryTokens() > e.MemoryTokens*9/10*len(pool) {
+		return false
+	}
+	best := e.readMS(a.arrive.PromptTokens, len(pool))
+	return c.now+waitStep+fromMS(best) < a.deadline
+}
+
+// wait dispatches the request again a little later.
+func (c *Core) wait(a *active) {
+	if !a.waiting {
+		a.waiting = true
+		c.log("wait", "request", a.arrive.ID, "prompt", a.arrive.PromptTokens)
+	}
+	c.after(waitStep, func() {
+		if c.requests[a.arrive.Request] == a && a.attempt == 0 && a.reservation == nil {
+			c.dispatch(a)
+		}
+	})
 }
 
 func (c *Core) send(a *active, p plan, tickets []string) {
 	c.nextID++
 	a.attempt, a.target, a.fresh, a.answered = c.nextID, p.first, false, false
-	a.sentAt, a.lastAt = c.now, c.now
+	a.sentAt = c.now
+	if !a.begun {
+		a.lastAt = c.now
+	}
 	c.attempts[a.attempt] = a
 	helpers := make([]Helper, len(p.helpers))
 	for i, h := range p.helpers {
@@ -130,7 +190,7 @@
 		workspace = a.arrive.Caller.Name
 	}
 	c.log("send", "request", a.arrive.ID, "attempt", a.attempt, "target", p.first.ID, "address", p.first.Address,
-		"parts", p.parts(), "predicted_ms", int(p.firstEventMS), "score", strconv.FormatFloat(p.score, 'f', 2, 64),
+		"helpers", p.helperIDs(), "predicted_ms", int(p.firstEventMS), "score", strconv.FormatFloat(p.score, 'f', 2, 64),
 		"prompt", a.arrive.PromptTokens, "at_target", len(p.first.flights), "resume_after", a.lastID)
 	c.emit(Send{
 		Request: a.arrive.Request, Attempt: a.attempt, Target: p.first.Target, Deadline: a.deadline,
@@ -160,6 +220,7 @@
 		l := Load{
 			Target: r.ID, Key: c.nextKey, ReadMS: p.readMS, ContextTokens: context, MemoryTokens: memory,
 			MaxPauseMS: int(ms(a.arrive.Route.MaxPause)), Part: part, Value: a.value,
+			FirstWithinMS: int(ms(a.arrive.Route.TargetLatency - (c.now - a.arrivedAt))),
 		}
 		a.flights = append(a.flights, placed{r, r.begin(c.now, "", l)})
 		c.outbox.gossip.Loads = append(c.outbox.gossip.Loads, l)
@@ -197,7 +258,13 @@
 	if a == nil {
 		return
 	}
+	if a.begun {
+		a.longestPause = max(a.longestPause, c.now-a.lastAt)
+	} else {
+		a.firstAt = c.now - a.arrivedAt
+	}
 	a.begun, a.lastAt = true, c.now
+	a.target.aliveAt = c.now
 	if ev.EventID != "" {
 		a.lastID = ev.EventID
 	}
@@ -229,20 +296,33 @@
 		if a.attempt != id {
 			return
 		}
-		if c.now < a.stallAt {
-			c.watch(a, id, a.stallAt-c.now)
+		due := a.stallAt
+		if c.engine(a) != nil {
+			// A target that serves others is late, not silent: what it has read
+			// for this request would be lost elsewhere.
+			due = max(due, a.target.aliveAt+c.silence(a))
+		}
+		if c.now < due {
+			c.watch(a, id, due-c.now)
 			return
 		}
 		c.stalled(a)
 	})
 }
 
+// silence is how long a target may send nothing to anyone.
+func (c *Core) silence(a *active) time.Duration {
+	a.target.advance(c.now)
+	l := a.target.loadOf(c.engine(a))
+	return max(stallBase, fromMS(l.worstPass+l.unread))
+}
+
 func (c *Core) stalled(a *active) {
 	if a.ran+1 >= a.arrive.Route.MaxAttempts || len(c.candidates(a)) == 0 {
 		return
 	}
 	c.log("target-silent", "request", a.arrive.ID, "attempt", a.attempt, "target", a.target.ID,
-		"silent_ms", int(ms(c.now-a.lastAt)))
+		"silent_ms", int(ms(c.now-a.lastAt)), "alive_ms_ago", int(ms(c.now-a.target.aliveAt)))
 	c.emit(Cancel{Attempt: a.attempt})
 	c.failedTarget(a, true)
 	c.vacate(a)
@@ -369,11 +449,10 @@
 	delete(c.requests, a.arrive.Request)
 	c.releaseTickets(a)
 	f.Request = a.arrive.Request
-	if f.Outcome != Answered || f.Reason != "" {
-		c.log("request-ended", "request", a.arrive.ID, "outcome", f.Outcome.String(), "reason", f.Reason,
-			"ran", a.ran, "unsent", a.unsent, "after_ms", int(ms(c.now-a.arrivedAt)),
-			"retry_after_ms", int(ms(f.RetryAfter)))
-	}
+	c.log("request-ended", "request", a.arrive.ID, "route", a.arrive.Route.Name, "outcome", f.Outcome.String(),
+		"reason", f.Reason, "ran", a.ran, "unsent", a.unsent, "after_ms", int(ms(c.now-a.arrivedAt)),
+		"first_ms", int(ms(a.firstAt)), "longest_pause_ms", int(ms(a.longestPause)),
+		"retry_after_ms", int(ms(f.RetryAfter)))
 	c.count("requests_ended", f.Outcome.String()+reasonSuffix(f.Reason))
 	c.emit(f)
 }
--- a/internal/fleet/runner.go
+++ b/internal/fleet/runner.go
@@ -26,6 +26,9 @@
 	Begun bool
 	// AgeMS is the time since it was sent.
 	AgeMS int
+	// FirstWithinMS is the time from sending in which the first event satisfies
+	// the caller.
+	FirstWithinMS int
 	// Value is what the caller loses if it is served late.
 	Value float64
 }
@@ -46,6 +49,7 @@
 	leaving    bool // draining, or a peer said so
 	flights    []*flight
 	advancedAt time.Duration
+	aliveAt    time.Duration // when it last sent anything, here or to a peer
 	health     health
 }
 
