Placement: late short requests wait for places, unservable ones are refused, cut domains are avoided

Change: a request that will be late waits here and leaves two places free for those that come meanwhile; one that its caller would not wait for is refused at once, with the predicted wait as Retry-After; a domain of which two targets can't be connected to is avoided for a second at a time.

--- /dev/null
+++ b/internal/fleet/domain.go
@@ -0,0 +1,51 @@
+package fleet
+
+import "time"
+
+// Bounds of failure domains that cannot be reached.
+const (
+	// cutTargets is the number of a domain's targets that could not be connected
+	// to, with no success in between, from which the whole domain is avoided.
+	cutTargets = 2
+	// cutAvoidance is how long it is avoided before a request tries it again.
+	cutAvoidance = time.Second
+)
+
+// domain is what connections showed of another failure domain.
+type domain struct {
+	failed     map[string]bool // targets since the last success
+	avoidUntil time.Duration
+}
+
+func (c *Core) domainUsable(name string) bool {
+	d := c.domains[name]
+	return d == nil || c.now >= d.avoidUntil
+}
+
+// domainFailed notes that a target could not be connected to.
+func (c *Core) domainFailed(r *runner) {
+	if r.Domain == c.opts.Domain {
+		return
+	}
+	d := c.domains[r.Domain]
+	if d == nil {
+		d = &domain{failed: make(map[string]bool)}
+		c.domains[r.Domain] = d
+	}
+	d.failed[r.ID] = true
+	if len(d.failed) >= cutTargets && c.now >= d.avoidUntil {
+		d.avoidUntil = c.now + cutAvoidance
+		c.log("domain-avoided", "domain", r.Domain, "failed_targets", len(d.failed))
+	}
+}
+
+// succeeded notes that a target served a request.
+func (c *Core) succeeded(r *runner) {
+	r.health.succeeded()
+	if d := c.domains[r.Domain]; d != nil {
+		if c.now < d.avoidUntil {
+			c.log("domain-regained", "domain", r.Domain)
+		}
+		delete(c.domains, r.Domain)
+	}
+}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -75,6 +75,9 @@
 	// inTime is the chance that the request satisfies its caller, harm the value
 	// that others lose.
 	inTime, harm float64
+	// gain is what the request itself is worth by this plan; zero if its caller
+	// would not wait so long.
+	gain float64
 }
 
 func (p *plan) parts() int { return 1 + len(p.helpers) }
@@ -123,7 +126,7 @@
 		if r.gone || r.leaving {
 			continue
 		}
-		if r.health.usable(c.now) && !slices.Contains(a.tried, r.ID) {
+		if r.health.usable(c.now) && c.domainUsable(r.Domain) && !slices.Contains(a.tried, r.ID) {
 			good = append(good, r)
 		} else {
 			poor = append(poor, r)
@@ -318,7 +321,7 @@
 	if parts == 1 && read.ms < a.shortMS() {
 		score += full * packing * min(1, float64(first.load.requests)/float64(max(1, first.Slots)))
 	}
-	p := plan{first: first.runner, score: score, firstEventMS: firstEvent, readMS: read.ms, inTime: inTime, harm: harm}
+	p := plan{first: first.runner, score: score, firstEventMS: firstEvent, readMS: read.ms, inTime: inTime, harm: harm, gain: gain}
 	for _, h := range helpers {
 		p.helpers = append(p.helpers, h.runner)
 	}
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -20,6 +20,8 @@
 	// minRetryAfter is the shortest time after which a refused caller is told to
 	// come back: a target's state changes with its passes, some of them a second.
 	minRetryAfter = 200 * time.Millisecond
+	// maxRetryAfter is the longest: loads change within seconds.
+	maxRetryAfter = 3 * time.Second
 	// noTargetRetryAfter is the same where no target is known at all: the time
 	// in which a target that starts is listed.
 	noTargetRetryAfter = time.Second
@@ -29,6 +31,9 @@
 const (
 	// hopeless is the chance to be in time below which a request yields.
 	hopeless = 0.15
+	// sparePlaces is the number of places that a late request leaves free at a
+	// target for those that come meanwhile.
+	sparePlaces = 2
 	// calmHarm is the share of a late request's value that others may lose by it,
 	// and calmBacklog the share of its reading that may wait before it.
 	calmHarm    = 0.05
@@ -115,6 +120,8 @@
 		c.wait(a)
 	case p.first != nil && c.yields(a, p):
 		c.wait(a)
+	case p.first != nil && c.unservable(a, p):
+		c.giveUp(a, "overload", min(maxRetryAfter, max(minRetryAfter, fromMS(p.firstEventMS))))
 	case p.first == nil:
 		c.giveUp(a, "no-target", noTargetRetryAfter)
 	case p.ticketed:
@@ -136,14 +143,23 @@
 // long as it can still be answered, requests that can be in time go first.
 func (c *Core) yields(a *active, p plan) bool {
 	e := c.engine(a)
-	if e == nil || p.inTime >= hopeless || p.readMS < a.shortMS() || a.begun {
+	if e == nil || p.inTime >= hopeless || a.begun {
 		return false
 	}
-	calm := p.harm < calmHarm*a.value && p.first.loadOf(e).unread < p.readMS*calmBacklog
-	alone := fromMS(e.readMS(a.arrive.PromptTokens, 1) * yieldMargin)
+	l := p.first.loadOf(e)
+	calm := l.requests+sparePlaces <= p.first.Slots
+	if p.readMS >= a.shortMS() {
+		calm = calm && p.harm < calmHarm*a.value && l.unread < p.readMS*calmBacklog
+	}
+	alone := fromMS(e.readMS(a.arrive.PromptTokens, 1)*yieldMargin + 2*float64(e.Stride)*l.step)
 	return !calm && c.now+alone < a.firstBy()
 }
 
+// unservable reports whether the first event would come after the caller left.
+func (c *Core) unservable(a *active, p plan) bool {
+	return c.engine(a) != nil && !a.begun && p.gain == 0 && c.opts.Policy != PolicyRoundRobin && c.opts.Policy != PolicyLeastOutstanding
+}
+
 // mayWait reports whether targets are there that may have room for the request
 // in time.
 func (c *Core) mayWait(a *active) bool {
@@ -273,7 +289,7 @@
 		return
 	}
 	a.fresh = true
-	a.target.health.succeeded()
+	c.succeeded(a.target)
 	c.log("first-event", "request", a.arrive.ID, "attempt", ev.Attempt, "after_ms", int(ms(c.now-a.sentAt)))
 	for _, pl := range a.flights {
 		pl.runner.firstEvent(c.now, pl.flight)
@@ -359,7 +375,7 @@
 	}
 	switch ev.End {
 	case EndComplete:
-		target.health.succeeded()
+		c.succeeded(target)
 		c.vacate(a)
 		c.finish(a, Finish{Outcome: Answered})
 	case EndFailed:
@@ -370,6 +386,7 @@
 		c.again(a, "failed")
 	case EndNotConnected:
 		c.failedTarget(a, true)
+		c.domainFailed(target)
 		c.vacate(a)
 		a.unsent++
 		c.again(a, "not-connected")
