Placement: a share of the targets is kept for short requests

Change: as many targets as the short requests in flight need, and one more, take only readings of under 0.4 of the short pause; at most three quarters of them.

--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -161,13 +161,24 @@
 type candidate struct {
 	*runner
 	load load
+	// longest is the longest reading in milliseconds that the target takes: it is
+	// bounded where targets are kept for short requests.
+	longest float64
 }
 
 func (c *Core) mostValuable(a *active, e *Engine, pool []*runner) plan {
 	cands := make([]candidate, 0, len(pool))
 	for _, r := range pool {
 		r.advance(c.now)
-		cands = append(cands, candidate{r, r.loadOf(e)})
+		cands = append(cands, candidate{runner: r, load: r.loadOf(e)})
+	}
+	kept, pause := reserved(cands)
+	for i := range cands {
+		if kept[cands[i].ID] {
+			cands[i].longest = longPart * pause
+		} else {
+			cands[i].longest = math.Inf(1)
+		}
 	}
 	best := plan{score: math.Inf(-1)}
 	alone := e.readMS(a.arrive.PromptTokens, 1)
@@ -210,7 +221,7 @@
 	}
 	for i := range cands {
 		cand := &cands[i]
-		if slices.Contains(helpers, cand) || cand.load.memory+firstNeed > e.MemoryTokens {
+		if slices.Contains(helpers, cand) || read.ms > cand.longest || cand.load.memory+firstNeed > e.MemoryTokens {
 			continue
 		}
 		if p := c.score(a, e, cand, helpers, read); p.score > best.score {
@@ -232,7 +243,7 @@
 	var losses []loss
 	for i := range cands {
 		cand := &cands[i]
-		if cand.load.helping >= cand.Slots || cand.load.memory+memory > e.MemoryTokens {
+		if cand.load.helping >= cand.Slots || read.ms > cand.longest || cand.load.memory+memory > e.MemoryTokens {
 			continue
 		}
 		losses = append(losses, loss{cand, c.harm(e, cand, read, true, 0) + delayCost*cand.load.unread/1000 + farCost*c.far(cand.runner)})
