Placement: parts are read newest first, and late prompts wait as long as a spread read allows

A prompt predicted to be read already lost its protection. Change: parts go to the front of the predicted queue and their delay counts for all behind them; 0.15 of a prompt counts as unread until its first event; a silent target is judged by all that waits there; the wait of a late prompt is bounded by its read over half of the targets; an instance that starts is told all loads at once.

--- a/internal/fleet/model.go
+++ b/internal/fleet/model.go
@@ -30,9 +30,9 @@
 type reading struct {
 	ms     float64 // left to read
 	chunks float64 // steps that it takes
-	// value and within are those of the request, and the milliseconds in which
-	// its first event satisfies the caller.
-	value, within float64
+	// value is that of the request; its first event satisfies the caller within
+	// so many milliseconds, and finds the caller within leaves.
+	value, within, leaves float64
 }
 
 // load is the predicted state of one engine at one moment.
@@ -43,10 +43,9 @@
 	step     float64 // milliseconds of one step with all present writers
 	writers  int
 	memory   int // tokens taken or promised
-	// queue is what waits to be read, in its order; the first parts entries are
-	// parts for other engines.
+	// queue is what waits to be read, in its order: parts for other engines, the
+	// newest first, before the engine's own prompts.
 	queue []reading
-	parts int
 	// worstPass is the longest pass while the queue is read.
 	worstPass float64
 }
@@ -70,13 +69,11 @@
 			continue
 		}
 		l.unread += f.unreadMS
+		age := ms(r.advancedAt-f.seenAt) + float64(f.AgeMS)
 		l.queue = append(l.queue, reading{
 			ms: f.unreadMS, chunks: e.chunks(f.ContextTokens) * f.unreadMS / f.ReadMS,
-			value: f.Value, within: float64(f.FirstWithinMS) - ms(r.advancedAt-f.seenAt) - float64(f.AgeMS),
+			value: f.Value, within: float64(f.FirstWithinMS) - age, leaves: float64(f.LeavesWithinMS) - age,
 		})
-		if f.Part {
-			l.parts++
-		}
 	}
 	_, l.worstPass = e.readAll(l.queue, l.step, -1)
 	return l
@@ -112,12 +109,12 @@
 	return readAt, worstPass
 }
 
-// with returns the queue with one more entry, and its index. Parts for other
-// engines go before the engine's own prompts.
+// with returns the queue with one more entry, and its index. A part for another
+// engine goes before everything else.
 func (l *load) with(r reading, part bool) (queue []reading, index int) {
 	index = len(l.queue)
 	if part {
-		index = l.parts
+		index = 0
 	}
 	return slices.Insert(slices.Clone(l.queue), index, r), index
 }
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -14,12 +14,17 @@
 	shareWhole = time.Second
 	// peerSilence is the time after which a silent peer's loads count no more.
 	peerSilence = 3 * shareWhole
+	// forgetPeer is the time after which a silent peer no longer counts among
+	// those that share the retry budget.
+	forgetPeer = 30 * time.Second
 )
 
 // Gossip is the state that instances tell one another. It is absolute: a later
 // message repairs the loss of an earlier one.
 type Gossip struct {
 	_ struct{} `cbor:",toarray"`
+	// Hello says that the sender has just started and knows no loads of others.
+	Hello bool
 	// Whole says that Loads are all of the sender's loads.
 	Whole bool
 	// Loads are new or changed loads.
@@ -74,7 +79,8 @@
 func (c *Core) flush() {
 	if !c.outbox.periodic {
 		c.outbox.periodic = true
-		c.after(0, c.shareAll)
+		c.shareAll()
+		c.emit(Share{Gossip: Gossip{Hello: true, Whole: true}})
 	}
 	if !c.outbox.due {
 		return
@@ -91,6 +97,19 @@
 // shareAll states all loads, and drops those of silent peers.
 func (c *Core) shareAll() {
 	c.after(shareWhole, c.shareAll)
+	c.emit(Share{Gossip: c.whole()})
+	for name, p := range c.peers {
+		if c.now-p.heardAt > peerSilence {
+			c.dropPeerLoads(p, nil)
+			if c.now-p.heardAt > forgetPeer {
+				delete(c.peers, name)
+			}
+		}
+	}
+}
+
+// whole states all loads of this instance.
+func (c *Core) whole() Gossip {
 	g := Gossip{Whole: true}
 	for _, r := range c.runners {
 		for _, f := range r.flights {
@@ -109,15 +128,7 @@
 	slices.Sort(g.Left)
 	g.Failed, g.Suspects = c.outbox.gossip.Failed, c.outbox.gossip.Suspects
 	c.outbox.gossip, c.outbox.left = Gossip{}, nil
-	c.emit(Share{Gossip: g})
-	for name, p := range c.peers {
-		if c.now-p.heardAt > peerSilence {
-			c.dropPeerLoads(p, nil)
-			if c.now-p.heardAt > c.opts.RetryWindow*3 {
-				delete(c.peers, name)
-			}
-		}
-	}
+	return g
 }
 
 // dropPeerLoads ends a peer's loads except those whose keys are kept.
@@ -132,6 +143,9 @@
 
 func (c *Core) peerLoad(ev PeerLoad) {
 	p := c.peers[ev.From]
+	if p == nil || ev.Gossip.Hello {
+		c.emit(Share{Gossip: c.whole()})
+	}
 	if p == nil {
 		p = &peer{flights: make(map[uint64]placed)}
 		c.peers[ev.From] = p
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -285,15 +285,15 @@
 	return lost
 }
 
-// delayLoss is the value that prompts in the queue lose when a part for another
-// engine, which goes first, delays them.
+// delayLoss is the value that the readings in the queue lose when a part for
+// another engine, which goes first, delays them.
 func (l *load) delayLoss(delayMS float64) float64 {
 	var lost, ahead float64
-	for i, q := range l.queue {
+	for _, q := range l.queue {
 		ahead += q.ms
-		if i >= l.parts && q.within > 0 {
-			lost += q.value * (1 - lateShare) * (onTime(ahead, q.within) - onTime(ahead+delayMS, q.within))
-		}
+		after := ahead + delayMS
+		lost += q.value * (1 - lateShare) * (onTime(ahead, q.within) - onTime(after, q.within))
+		lost += q.value * lateShare * (onTime(ahead, q.leaves) - onTime(after, q.leaves))
 	}
 	return lost
 }
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -38,8 +38,8 @@
 	// and calmBacklog the share of its reading that may wait before it.
 	calmHarm    = 0.05
 	calmBacklog = 0.25
-	// yieldMargin is the multiple of its reading time that a request keeps in
-	// hand when it yields.
+	// yieldMargin is the multiple of its reading time, spread over half of the
+	// targets, that a request keeps in hand when it yields.
 	yieldMargin = 1.5
 )
 
@@ -151,8 +151,9 @@
 	if p.readMS >= a.shortMS() {
 		calm = calm && p.harm < calmHarm*a.value && l.unread < p.readMS*calmBacklog
 	}
-	alone := fromMS(e.readMS(a.arrive.PromptTokens, 1)*yieldMargin + 2*float64(e.Stride)*l.step)
-	return !calm && c.now+alone < a.firstBy()
+	parts := max(1, len(c.candidates(a))/2)
+	spread := fromMS(e.readMS(a.arrive.PromptTokens, parts)*yieldMargin + 2*float64(e.Stride)*l.step)
+	return !calm && c.now+spread < a.firstBy()
 }
 
 // unservable reports whether the first event would come after the caller left.
@@ -236,7 +237,8 @@
 		l := Load{
 			Target: r.ID, Key: c.nextKey, ReadMS: p.readMS, ContextTokens: context, MemoryTokens: memory,
 			MaxPauseMS: int(ms(a.arrive.Route.MaxPause)), Part: part, Value: a.value,
-			FirstWithinMS: int(ms(a.arrive.Route.TargetLatency - (c.now - a.arrivedAt))),
+			FirstWithinMS:  int(ms(a.arrive.Route.TargetLatency - (c.now - a.arrivedAt))),
+			LeavesWithinMS: int(ms(a.firstBy() - c.now)),
 		}
 		a.flights = append(a.flights, placed{r, r.begin(c.now, "", l)})
 		c.outbox.gossip.Loads = append(c.outbox.gossip.Loads, l)
@@ -292,6 +294,7 @@
 	c.succeeded(a.target)
 	c.log("first-event", "request", a.arrive.ID, "attempt", ev.Attempt, "after_ms", int(ms(c.now-a.sentAt)))
 	for _, pl := range a.flights {
+		pl.runner.aliveAt = c.now
 		pl.runner.firstEvent(c.now, pl.flight)
 		c.outbox.gossip.Begun = append(c.outbox.gossip.Begun, pl.flight.Key)
 	}
@@ -326,11 +329,16 @@
 	})
 }
 
-// silence is how long a target may send nothing to anyone.
+// silence is how long a target may send nothing to anyone: while it reads what
+// waits there.
 func (c *Core) silence(a *active) time.Duration {
-	a.target.advance(c.now)
-	l := a.target.loadOf(c.engine(a))
-	return max(stallBase, fromMS(l.worstPass+l.unread))
+	pending := float64(0)
+	for _, f := range a.target.flights {
+		if !f.begun {
+			pending += f.ReadMS
+		}
+	}
+	return stallBase + fromMS(pending)
 }
 
 func (c *Core) stalled(a *active) {
--- a/internal/fleet/runner.go
+++ b/internal/fleet/runner.go
@@ -29,6 +29,9 @@
 	// FirstWithinMS is the time from sending in which the first event satisfies
 	// the caller.
 	FirstWithinMS int
+	// LeavesWithinMS is the time from sending in which the first event finds the
+	// caller.
+	LeavesWithinMS int
 	// Value is what the caller loses if it is served late.
 	Value float64
 }
@@ -64,12 +67,8 @@
 	if l.Begun {
 		f.unreadMS = 0
 	}
-	if l.Part { // engines read parts for others before their own prompts
-		i := slices.IndexFunc(r.flights, func(g *flight) bool { return !g.Part })
-		if i < 0 {
-			i = len(r.flights)
-		}
-		r.flights = slices.Insert(r.flights, i, f)
+	if l.Part { // the newest part is read before anything else
+		r.flights = slices.Insert(r.flights, 0, f)
 	} else {
 		r.flights = append(r.flights, f)
 	}
@@ -87,6 +86,10 @@
 	f.begun, f.unreadMS = true, 0
 }
 
+// unreadFloor is the share of a prompt that counts as unread until its first
+// event comes, however long that takes: predictions err by about as much.
+const unreadFloor = 0.15
+
 // advance lets the predicted reading progress to now, in the order of arrival.
 func (r *runner) advance(now time.Duration) {
 	left := ms(now - r.advancedAt)
@@ -95,7 +98,10 @@
 		if left <= 0 {
 			return
 		}
-		done := min(left, f.unreadMS)
+		if f.begun {
+			continue
+		}
+		done := max(0, min(left, f.unreadMS-unreadFloor*f.ReadMS))
 		f.unreadMS -= done
 		left -= done
 	}
