Fleet: silent streams move within the caller's patience, cut domains are left at once, late requests queue behind at targets

Cause: when a zone was cut, streams waited for all that the silent target had to read, and callers left after 2 s; each request tried a target beyond the cut again; late requests held the places of those that could be in time. Change as in the title; connections time out after 250 ms.

--- a/internal/fleet/domain.go
+++ b/internal/fleet/domain.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Bounds of failure domains that cannot be reached.
 const (
@@ -9,6 +13,9 @@
 	cutTargets = 2
 	// cutAvoidance is how long it is avoided before a request tries it again.
 	cutAvoidance = time.Second
+	// cutSilence is how long a target of such a domain has been silent before its
+	// requests are tried elsewhere: a few passes of an engine.
+	cutSilence = 400 * time.Millisecond
 )
 
 // domain is what connections showed of another failure domain.
@@ -36,6 +43,22 @@
 	if len(d.failed) >= cutTargets && c.now >= d.avoidUntil {
 		d.avoidUntil = c.now + cutAvoidance
 		c.log("domain-avoided", "domain", r.Domain, "failed_targets", len(d.failed))
+		c.leaveDomain(r.Domain)
+	}
+}
+
+// leaveDomain tries other targets for requests that wait in silence for one of a
+// domain that cannot be reached.
+func (c *Core) leaveDomain(name string) {
+	var silent []*active
+	for _, a := range c.attempts {
+		if a.target.Domain == name && c.now-max(a.lastAt, a.target.aliveAt) >= cutSilence && a.arrive.Route.Repeatable() {
+			silent = append(silent, a)
+		}
+	}
+	slices.SortFunc(silent, func(a, b *active) int { return cmp.Compare(a.attempt, b.attempt) })
+	for _, a := range silent {
+		c.stalled(a)
 	}
 }
 
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -126,7 +126,8 @@
 		if r.gone || r.leaving {
 			continue
 		}
-		if r.health.usable(c.now) && c.domainUsable(r.Domain) && !slices.Contains(a.tried, r.ID) {
+		if r.health.usable(c.now) && c.domainUsable(r.Domain) && !slices.Contains(a.tried, r.ID) &&
+			(r.Domain != a.cutFrom || r.Domain == c.opts.Domain) {
 			good = append(good, r)
 		} else {
 			poor = append(poor, r)
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -13,6 +13,9 @@
 	// stallFactor is how many times the predicted time to the first event a
 	// target may take before it counts as silent.
 	stallFactor = 2.5
+	// patienceShare is the share of a caller's patience with a silent stream after
+	// which another target is tried: the rest is for its first event.
+	patienceShare = 0.6
 	// waitStep is the time between two looks for room: about a pass of an engine.
 	waitStep = 40 * time.Millisecond
 	// maxUnsent bounds the sends of one request that ended without a run.
@@ -58,6 +61,7 @@
 	unsent       int       // attempts that did not run
 	tried        []string  // ids of targets that failed the request
 	waiting      bool      // for room at the targets
+	cutFrom      string    // domain of a target that could not be connected to
 	begun        bool      // an event or more went to the caller
 	fresh        bool      // the current attempt has sent an event
 	sentAt       time.Duration
@@ -211,7 +215,7 @@
 		"prompt", a.arrive.PromptTokens, "at_target", len(p.first.flights), "resume_after", a.lastID)
 	c.emit(Send{
 		Request: a.arrive.Request, Attempt: a.attempt, Target: p.first.Target, Deadline: a.deadline,
-		ResumeAfter: a.lastID, Urgency: c.urgency(a), Helpers: helpers, Workspace: workspace,
+		ResumeAfter: a.lastID, Urgency: c.urgency(a, p), Helpers: helpers, Workspace: workspace,
 		FreshConnection: !a.arrive.Route.Repeatable(),
 	})
 	patience := max(stallBase, fromMS(stallFactor*p.firstEventMS))
@@ -219,16 +223,24 @@
 	c.watch(a, a.attempt, patience)
 }
 
-// urgency is the order of admission at targets, from the priorities that the
-// operators set.
-func (c *Core) urgency(a *active) int {
-	p := a.arrive.Route.Priority
+// urgency is the order of admission at targets: by the priorities that the
+// operators set, and requests that will be late behind those that need not be.
+func (c *Core) urgency(a *active, p plan) int {
+	priority := a.arrive.Route.Priority
 	if w := a.arrive.Caller; w != nil && w.Priority != nil {
-		p = *w.Priority
+		priority = *w.Priority
 	}
-	return min(9, max(0, p))
+	priority = min(lateUrgency-1, max(0, priority))
+	if c.engine(a) != nil && p.inTime < hopeless && !a.begun {
+		priority += lateUrgency
+	}
+	return priority
 }
 
+// lateUrgency is the first of the five urgencies of late requests, out of ten
+// that engines know.
+const lateUrgency = 5
+
 // occupy adds the loads of an attempt and tells peers.
 func (c *Core) occupy(a *active, p plan) {
 	context := a.arrive.PromptTokens / p.parts()
@@ -320,6 +332,9 @@
 			// A target that serves others is late, not silent: what it has read
 			// for this request would be lost elsewhere.
 			due = max(due, a.target.aliveAt+c.silence(a))
+			if p := a.arrive.Route.CallerPatience; a.begun && p > 0 {
+				due = min(due, a.lastAt+time.Duration(patienceShare*float64(p)))
+			}
 		}
 		if c.now < due {
 			c.watch(a, id, due-c.now)
@@ -330,8 +345,12 @@
 }
 
 // silence is how long a target may send nothing to anyone: while it reads what
-// waits there.
+// waits there, or runs one pass if it writes for this request.
 func (c *Core) silence(a *active) time.Duration {
+	if a.fresh {
+		a.target.advance(c.now)
+		return stallBase + fromMS(a.target.loadOf(c.engine(a)).worstPass)
+	}
 	pending := float64(0)
 	for _, f := range a.target.flights {
 		if !f.begun {
@@ -394,8 +413,9 @@
 		c.again(a, "failed")
 	case EndNotConnected:
 		c.failedTarget(a, true)
-		c.domainFailed(target)
+		a.cutFrom = target.Domain
 		c.vacate(a)
+		c.domainFailed(target)
 		a.unsent++
 		c.again(a, "not-connected")
 	case EndNotRun, EndMisdirected:
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -20,7 +20,7 @@
 const (
 	// connectTimeout bounds the making of a connection within a region, where a
 	// handshake takes milliseconds.
-	connectTimeout = 400 * time.Millisecond
+	connectTimeout = 250 * time.Millisecond
 	// unackedTimeout is how long sent bytes may stay without an acknowledgement
 	// before the connection counts as broken.
 	unackedTimeout = 1500 * time.Millisecond
