Placement: engine time has a price while it is scarce

Cause: prompts of 300,000 tokens and more held seven engines through a burst of short requests, 28 engine seconds for the value of four long prompts. Change: a request also waits while the engine time it takes is worth more to the demand of the last seconds than it gains; the price rises from nothing at half use to full at nine tenths.

--- /dev/null
+++ b/internal/fleet/demand.go
@@ -0,0 +1,63 @@
+package fleet
+
+import (
+	"math"
+	"time"
+)
+
+// Bounds of the price of an engine's time.
+const (
+	// demandMemory is the time constant of the measured demand: bursts last some
+	// seconds.
+	demandMemory = 5 * time.Second
+	// idleShare is the share of the engines' time in use up to which it costs
+	// nothing, and fullShare that from which all of it is missed by others.
+	idleShare = 0.5
+	fullShare = 0.9
+	// busyReadingMS is the reading that waits at an engine that is fully in use.
+	busyReadingMS = 1000
+)
+
+// demand is the value of recent requests against the engine time they take.
+type demand struct {
+	value, workMS float64
+	at            time.Duration
+}
+
+// workMS is the engine time that a request takes: its reading, and its share of
+// the steps in which all slots write.
+func (e *Engine) workMS(promptTokens int) float64 {
+	step := e.StepMS + float64(e.Slots)*e.writerMS(float64(e.UsualPrompt))
+	return e.readMS(promptTokens, 1) + float64(e.UsualAnswer)*step/float64(max(1, e.Slots))
+}
+
+// demanded takes a request into the demand for its service.
+func (c *Core) demanded(a *active, e *Engine) {
+	d := c.demands[a.service]
+	if d == nil {
+		d = &demand{at: c.now}
+		c.demands[a.service] = d
+	}
+	decay := math.Exp(-float64(c.now-d.at) / float64(demandMemory))
+	d.value = d.value*decay + a.value
+	d.workMS = d.workMS*decay + e.workMS(a.arrive.PromptTokens)
+	d.at = c.now
+}
+
+// price is the value that others lose while the engines work on the request:
+// nothing while much of their time is free.
+func (c *Core) price(a *active, e *Engine) float64 {
+	d := c.demands[a.service]
+	if d == nil || d.workMS == 0 {
+		return 0
+	}
+	var used float64
+	pool := c.candidates(a)
+	for _, r := range pool {
+		r.advance(c.now)
+		l := r.loadOf(e)
+		used += min(1, max(float64(l.requests)/float64(max(1, r.Slots)), l.unread/busyReadingMS))
+	}
+	scarcity := (used/float64(max(1, len(pool))) - idleShare) / (fullShare - idleShare)
+	return e.workMS(a.arrive.PromptTokens) * d.value / d.workMS * (1 - lateShare) * min(1, max(0, scarcity))
+}
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -89,6 +89,9 @@
 	c.requests[ev.Request] = a
 	a.service = c.pickService(ev.Route)
 	c.countRequest(a.service)
+	if e := c.engine(a); e != nil {
+		c.demanded(a, e)
+	}
 	if c.suspicious(ev.Fingerprint) {
 		c.finish(a, Finish{Outcome: Refused, Reason: "suspect-request", RetryAfter: suspicionTime})
 		return
@@ -143,11 +146,12 @@
 	return a.deadline
 }
 
-// yields reports whether a request that will be late anyway had better wait: as
-// long as it can still be answered, requests that can be in time go first.
+// yields reports whether a request had better wait, as long as it can still be
+// answered: one that will be late anyway, since requests that can be in time go
+// first, or one that would cost others more than it is worth.
 func (c *Core) yields(a *active, p plan) bool {
 	e := c.engine(a)
-	if e == nil || p.inTime >= hopeless || a.begun {
+	if e == nil || a.begun || p.gain-p.harm >= c.price(a, e) && p.inTime >= hopeless {
 		return false
 	}
 	l := p.first.loadOf(e)
