--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -37,7 +37,7 @@
 	// packing is the preference for a target that is already busy with short
 	// requests over an idle one, as a share of a request's value: idle targets
 	// are kept for long prompts.
-	packing = 0.06
+	packing = 0.2
 	// helperCost is the cost of each helper, as a share of a request's value: the
 	// message to it and the steps that it spends on the request's context.
 	helperCost = 0.004
@@ -216,7 +216,7 @@
 func (c *Core) bestWith(a *active, e *Engine, cands []candidate, parts, firstNeed, helperNeed int) (plan, bool) {
 	read := reading{ms: e.readMS(a.arrive.PromptTokens, parts), chunks: e.chunks(a.arrive.PromptTokens / parts)}
 	best := plan{score: math.Inf(-1)}
-	helpers := c.pickHelpers(a, e, cands, parts-1, read, helperNeed)
+	helpers := c.pickHelpers(e, cands, parts-1, read, helperNeed)
 	if len(helpers) < parts-1 {
 		return plan{}, false
 	}
@@ -233,7 +233,7 @@
 }
 
 // pickHelpers returns the targets that lose least by reading a part.
-func (c *Core) pickHelpers(a *active, e *Engine, cands []candidate, n int, read reading, memory int) []*candidate {
+func (c *Core) pickHelpers(e *Engine, cands []candidate, n int, read reading, memory int) []*candidate {
 	if n == 0 {
 		return nil
 	}
--- a/internal/fleet/runner.go
+++ b/internal/fleet/runner.go
@@ -56,10 +56,6 @@
 	health     health
 }
 
-func (r *runner) usable(now time.Duration) bool {
-	return !r.gone && !r.leaving && r.health.usable(now)
-}
-
 // begin adds a load.
 func (r *runner) begin(now time.Duration, owner string, l Load) *flight {
 	r.advance(now)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -101,6 +101,8 @@
 		exchanges: make(map[fleet.RequestID]*exchange), attempts: make(map[fleet.AttemptID]*exchange),
 		drained: make(chan struct{}), configured: make(chan struct{}), ctx: ctx, cancel: cancel, armed: -1,
 	}
+	n.mu.Lock() // the timer fires at once, and its step sets it again
+	defer n.mu.Unlock()
 	n.timer = time.AfterFunc(0, func() { n.Step(fleet.Tick{}) })
 	return n
 }
