Fleet: two instances of a domain follow the store, the others are told; instances scatter their choices; learnt error

Change: an instance follows the store if fewer than two peers of its domain that come before it do so with success; the others take the configuration and the targets from a peer at the first message that names a newer revision. A random part in the choice of short requests grows with the number of peers.

--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -49,6 +49,7 @@
 	budgets  map[string]*budget // by service
 	suspects map[uint64]*suspect
 	demands  map[string]*demand // by service
+	errors   map[string]float64 // learnt, by service
 	domains  map[string]*domain // with failures since the last success
 	stopping bool
 	drained  bool
@@ -62,8 +63,8 @@
 		requests: make(map[RequestID]*active), attempts: make(map[AttemptID]*active),
 		turn: make(map[string]int), peers: make(map[string]*peer),
 		budgets: make(map[string]*budget), suspects: make(map[uint64]*suspect), domains: make(map[string]*domain),
-		demands: make(map[string]*demand),
-		store:   storeState{reachable: true},
+		demands: make(map[string]*demand), errors: make(map[string]float64),
+		store: storeState{reachable: true},
 	}
 	return c
 }
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -61,3 +61,29 @@
 	scarcity := (used/float64(max(1, len(pool))) - idleShare) / (fullShare - idleShare)
 	return e.workMS(a.arrive.PromptTokens) * d.value / d.workMS * (1 - lateShare) * min(1, max(0, scarcity))
 }
+
+// Bounds of the learnt error of predictions.
+const (
+	// errorWeight is the weight of the newest first event.
+	errorWeight = 0.05
+	// minError and maxError bound what a few odd targets can teach.
+	minError, maxError = 0.8, 1.6
+)
+
+// learnFirstEvent compares the first event of an attempt with its prediction.
+func (c *Core) learnFirstEvent(a *active) {
+	if a.predictedMS <= 0 || c.engine(a) == nil {
+		return
+	}
+	ratio := min(maxError, max(minError, ms(c.now-a.sentAt)/a.predictedMS))
+	c.errors[a.service] = c.predictionError(a.service)*(1-errorWeight) + errorWeight*ratio
+}
+
+// predictionError is the mean of the times to the first event against what the
+// model says without it.
+func (c *Core) predictionError(service string) float64 {
+	if e, ok := c.errors[service]; ok {
+		return e
+	}
+	return 1
+}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -38,6 +38,12 @@
 	// requests over an idle one, as a share of a request's value: idle targets
 	// are kept for long prompts.
 	packing = 0.2
+	// maxScatter is the random part of a short request's choice, as a share of its
+	// value, among very many instances: those that decide at the same time should
+	// not all take the same target. halfScatterPeers is the number of peers at
+	// which it is half of that.
+	maxScatter       = 0.12
+	halfScatterPeers = 8
 	// helperCost is the cost of each helper, as a share of a request's value: the
 	// message to it and the steps that it spends on the request's context.
 	helperCost = 0.004
@@ -71,6 +77,7 @@
 	score    float64
 	// firstEventMS is the predicted time to the first event.
 	firstEventMS float64
+	modelMS      float64 // the same without the learnt error
 	readMS       float64 // of each part
 	// inTime is the chance that the request satisfies its caller, harm the value
 	// that others lose.
@@ -299,6 +306,12 @@
 	return lost
 }
 
+// scatter is the random part of a short request's choice.
+func (c *Core) scatter() float64 {
+	n := float64(c.knownPeers())
+	return maxScatter * n / (n + halfScatterPeers)
+}
+
 // score predicts what a plan is worth.
 func (c *Core) score(a *active, e *Engine, first *candidate, helpers []*candidate, read reading) plan {
 	parts := 1 + len(helpers)
@@ -318,6 +331,8 @@
 		harm += c.harm(e, h, read, true, e.writerMS(context))
 	}
 	firstEvent += firstPass
+	modelMS := firstEvent
+	firstEvent *= c.predictionError(a.service)
 	full := a.value
 	limit := ms(a.arrive.Route.TargetLatency - (c.now - a.arrivedAt))
 	inTime := onTime(firstEvent+sendMS, limit)
@@ -332,8 +347,9 @@
 	score -= full * delayCost * min(1, firstEvent/max(1, ms(a.arrive.Route.TargetLatency)))
 	if parts == 1 && read.ms < a.shortMS() {
 		score += full * packing * min(1, float64(first.load.requests)/float64(max(1, first.Slots)))
+		score += full * c.scatter() * c.rng.Float64()
 	}
-	p := plan{first: first.runner, score: score, firstEventMS: firstEvent, readMS: read.ms, inTime: inTime, harm: harm, gain: gain}
+	p := plan{first: first.runner, score: score, firstEventMS: firstEvent, modelMS: modelMS, readMS: read.ms, inTime: inTime, harm: harm, gain: gain}
 	for _, h := range helpers {
 		p.helpers = append(p.helpers, h.runner)
 	}
--- a/internal/fleet/place_test.go
+++ b/internal/fleet/place_test.go
@@ -14,13 +14,13 @@
 func TestLongPromptsKeepAwayFromShortWriters(t *testing.T) {
 	w := newWorld(t, 8)
 	short := make(map[string]bool)
-	for range 10 {
+	for range 20 {
 		id := w.arrive(routeShort, 3000)
 		w.wait(20 * time.Millisecond)
 		w.begin(id)
 		short[w.last(id).Target.ID] = true
 	}
-	must.LessEq(t, 3, len(short))
+	must.LessEq(t, 4, len(short)) // half of the targets stay free
 	long := w.last(w.arrive(routeLong, 130_000))
 	must.False(t, short[long.Target.ID])
 	for _, h := range long.Helpers {
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -66,6 +66,7 @@
 	fresh        bool      // the current attempt has sent an event
 	sentAt       time.Duration
 	lastAt       time.Duration // of the last event
+	predictedMS  float64       // by the model, from sentAt to the first event
 	stallAt      time.Duration
 	firstAt      time.Duration // from arrival to the first event
 	longestPause time.Duration
@@ -197,7 +198,7 @@
 func (c *Core) send(a *active, p plan, tickets []string) {
 	c.nextID++
 	a.attempt, a.target, a.fresh, a.answered = c.nextID, p.first, false, false
-	a.sentAt = c.now
+	a.sentAt, a.predictedMS = c.now, p.modelMS
 	if !a.begun {
 		a.lastAt = c.now
 	}
@@ -307,6 +308,7 @@
 		return
 	}
 	a.fresh = true
+	c.learnFirstEvent(a)
 	c.succeeded(a.target)
 	c.log("first-event", "request", a.arrive.ID, "attempt", ev.Attempt, "after_ms", int(ms(c.now-a.sentAt)))
 	for _, pl := range a.flights {
--- a/internal/fleetnode/exchange.go
+++ b/internal/fleetnode/exchange.go
@@ -27,6 +27,9 @@
 	Config   []byte // encoded as in the store; empty if the asker has it
 	Targets  []follow.Item
 	Revision uint64
+	// Settling says that targets which are missing may come back: the store was
+	// away until a moment ago.
+	Settling bool
 }
 
 // Exchange answers peers that cannot reach the store; it is served by net/rpc.
@@ -40,7 +43,7 @@
 		out.Config = config
 	}
 	if revision > have.StoreRevision {
-		out.Targets, out.Revision = targets, revision
+		out.Targets, out.Revision, out.Settling = targets, revision, e.mirror.settling()
 	}
 	return nil
 }
@@ -48,6 +51,7 @@
 // exchanger serves Exchange and asks peers.
 type exchanger struct {
 	mirror   *mirror
+	follows  func() bool // whether this instance follows the store with success
 	log      logr.Logger
 	port     int
 	listener net.Listener
@@ -57,7 +61,7 @@
 	nextAt time.Time
 }
 
-func listenExchange(s *Settings, m *mirror, log logr.Logger) (*exchanger, error) {
+func listenExchange(s *Settings, m *mirror, follows func() bool, log logr.Logger) (*exchanger, error) {
 	server := rpc.NewServer()
 	if err := server.Register(&Exchange{m}); err != nil {
 		return nil, fmt.Errorf("serve peers: %w", err)
@@ -68,17 +72,15 @@
 		return nil, fmt.Errorf("listen for peers at %s: %w", address, err)
 	}
 	go server.Accept(listener)
-	return &exchanger{mirror: m, log: log, port: s.ExchangePort, listener: listener}, nil
+	return &exchanger{mirror: m, follows: follows, log: log, port: s.ExchangePort, listener: listener}, nil
 }
 
-// news is told of the versions of a peer, and asks it for them if they are newer
-// and the store does not answer here.
-func (x *exchanger) news(peer netip.AddrPort, configVersion, revision uint64) {
+// news is told of a peer's message, and asks the peer for what is newer there
+// and does not come from the store itself.
+func (x *exchanger) news(peer netip.AddrPort, d *datagram) {
 	own, ownRevision := x.mirror.versions()
-	x.mirror.mu.Lock()
-	reachable := x.mirror.reachable
-	x.mirror.mu.Unlock()
-	if configVersion <= own && (reachable || revision <= ownRevision) {
+	follows := x.follows()
+	if d.ConfigVersion <= own && (follows || d.StoreRevision <= ownRevision) {
 		return
 	}
 	x.mu.Lock()
@@ -88,7 +90,7 @@
 	}
 	x.asking = true
 	x.nextAt = time.Now().Add(exchangeBackoff)
-	go x.ask(netip.AddrPortFrom(peer.Addr(), uint16(x.port)), Have{own, ownRevision}, !reachable)
+	go x.ask(netip.AddrPortFrom(peer.Addr(), uint16(x.port)), Have{own, ownRevision}, !follows)
 }
 
 func (x *exchanger) ask(peer netip.AddrPort, have Have, targets bool) {
@@ -117,7 +119,12 @@
 		x.mirror.adopt(snap.Config)
 	}
 	if targets && snap.Revision > have.StoreRevision {
-		x.log.Info("targets-from-peer", "peer", peer.String(), "revision", snap.Revision, "targets", len(snap.Targets))
+		x.log.Info("targets-from-peer", "peer", peer.String(), "revision", snap.Revision,
+			"targets", len(snap.Targets), "settling", snap.Settling)
+		if snap.Settling {
+			x.mirror.added(snap.Targets) // and asks again until it is settled
+			return
+		}
 		x.mirror.Listed(snap.Targets, snap.Revision)
 	}
 }
--- a/internal/fleetnode/gossip.go
+++ b/internal/fleetnode/gossip.go
@@ -23,8 +23,10 @@
 
 // datagram is one message between instances.
 type datagram struct {
-	_    struct{} `cbor:",toarray"`
-	From string
+	_            struct{} `cbor:",toarray"`
+	From, Domain string
+	// Watches says that the sender follows the store and that it answers.
+	Watches bool
 	// ConfigVersion and StoreRevision are the newest that the sender has.
 	ConfigVersion, StoreRevision uint64
 	// Peers are addresses of instances that the sender knows; only in messages
@@ -36,17 +38,27 @@
 // gossip exchanges datagrams with the other instances.
 type gossip struct {
 	name   string
+	domain string
 	own    netip.AddrPort
 	conn   *net.UDPConn
 	log    logr.Logger
 	onLoad func(fleet.PeerLoad)
-	// onNews is told which peer has what version.
-	onNews func(peer netip.AddrPort, configVersion, storeRevision uint64)
+	// onNews is told of each message.
+	onNews func(peer netip.AddrPort, d *datagram)
 	// versions returns those that this instance has.
 	versions func() (configVersion, storeRevision uint64)
+	// watches says whether this instance follows the store with success.
+	watches func() bool
 
 	mu    sync.Mutex
-	peers map[netip.AddrPort]time.Time // last heard; zero for never
+	peers map[netip.AddrPort]*contact
+}
+
+// contact is what is known of a peer's address.
+type contact struct {
+	addedAt, heardAt time.Time // heardAt is zero for never
+	name, domain     string
+	watches          bool
 }
 
 // forgetPeer is the time after which the address of a silent peer is no longer
@@ -62,7 +74,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers at %s: %w", own, err)
 	}
-	g := &gossip{name: s.Name, own: own, conn: conn, log: log, peers: make(map[netip.AddrPort]time.Time)}
+	g := &gossip{name: s.Name, domain: s.FailureDomain, own: own, conn: conn, log: log, peers: make(map[netip.AddrPort]*contact)}
 	for _, seed := range s.Seeds {
 		if a, err := netip.ParseAddrPort(seed); err == nil {
 			g.add(a)
@@ -78,17 +90,17 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if _, ok := g.peers[a]; !ok && a != g.own {
-		g.peers[a] = time.Time{}
+		g.peers[a] = &contact{addedAt: time.Now()}
 	}
 }
 
-// addresses returns the peers' addresses, those that are alive first.
+// addresses returns the peers' addresses.
 func (g *gossip) addresses() []netip.AddrPort {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	out := make([]netip.AddrPort, 0, len(g.peers))
-	for a, heard := range g.peers {
-		if !heard.IsZero() && time.Since(heard) > forgetPeer {
+	for a, c := range g.peers {
+		if time.Since(c.addedAt) > forgetPeer && time.Since(c.heardAt) > forgetPeer {
 			delete(g.peers, a)
 			continue
 		}
@@ -100,7 +112,7 @@
 // share sends a message to every peer. Writes to a UDP socket do not wait for
 // the receiver.
 func (g *gossip) share(message fleet.Gossip) {
-	d := datagram{From: g.name, Gossip: message}
+	d := datagram{From: g.name, Domain: g.domain, Watches: g.watches(), Gossip: message}
 	d.ConfigVersion, d.StoreRevision = g.versions()
 	peers := g.addresses()
 	if message.Whole {
@@ -135,13 +147,46 @@
 			continue
 		}
 		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
-		g.mu.Lock()
-		g.peers[from] = time.Now()
-		g.mu.Unlock()
+		g.heard(from, &d)
 		for _, a := range d.Peers {
 			g.add(a)
 		}
 		g.onLoad(fleet.PeerLoad{From: d.From, Gossip: d.Gossip})
-		g.onNews(from, d.ConfigVersion, d.StoreRevision)
+		g.onNews(from, &d)
+	}
+}
+
+func (g *gossip) heard(from netip.AddrPort, d *datagram) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := g.peers[from]
+	if c == nil {
+		c = &contact{addedAt: time.Now()}
+		g.peers[from] = c
+	}
+	c.heardAt, c.name, c.domain, c.watches = time.Now(), d.From, d.Domain, d.Watches
+}
+
+// Bounds of the duty to follow the store.
+const (
+	// watchersPerDomain is how many instances of a failure domain follow the
+	// store: a second one bridges the time until a loss is noticed.
+	watchersPerDomain = 2
+	// watcherSilence is the time after which a peer no longer counts as following
+	// the store; peers send something each second.
+	watcherSilence = 2200 * time.Millisecond
+)
+
+// shouldWatch reports whether this instance has to follow the store: if fewer
+// than watchersPerDomain peers of its failure domain that come before it do.
+func (g *gossip) shouldWatch() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before := 0
+	for _, c := range g.peers {
+		if c.watches && c.domain == g.domain && c.name < g.name && time.Since(c.heardAt) < watcherSilence {
+			before++
+		}
 	}
+	return before < watchersPerDomain
 }
--- a/internal/fleetnode/mirror.go
+++ b/internal/fleetnode/mirror.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/go-logr/logr"
 
@@ -29,10 +30,13 @@
 
 	// onInstance is told the address of each instance in the store.
 	onInstance func(address string)
+	// onChange is told after each change, so that peers hear of it at once.
+	onChange func()
 
 	mu            sync.Mutex
 	reachable     bool
-	known         bool // Reachable was called
+	known         bool      // Reachable was called
+	regainedAt    time.Time // when the store came back
 	configRaw     []byte
 	configVersion uint64
 	targets       map[string]follow.Item
@@ -47,6 +51,9 @@
 func (m *mirror) Reachable(ok bool, err error) {
 	m.mu.Lock()
 	changed := !m.known || ok != m.reachable
+	if ok && m.known && !m.reachable {
+		m.regainedAt = time.Now()
+	}
 	m.reachable, m.known = ok, true
 	m.mu.Unlock()
 	if !changed {
@@ -58,6 +65,24 @@
 	m.node.Step(fleet.StoreSeen{Reachable: ok})
 }
 
+// follows says whether the last call to the store was answered.
+func (m *mirror) follows() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.known && m.reachable
+}
+
+// settling reports whether entries that lapsed during an outage of the store may
+// still come back.
+func (m *mirror) settling() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.regainedAt.IsZero() && time.Since(m.regainedAt) < settleTime
+}
+
+// settleTime is how long after the store's return its entries settle.
+const settleTime = 2200 * time.Millisecond
+
 // Listed implements follow.Handler.
 func (m *mirror) Listed(items []follow.Item, revision uint64) {
 	var targets []fleet.Target
@@ -102,6 +127,16 @@
 	m.mu.Lock()
 	m.revision = max(m.revision, revision)
 	m.mu.Unlock()
+	m.onChange()
+}
+
+// added takes a peer's targets without ending those that it lacks.
+func (m *mirror) added(items []follow.Item) {
+	for _, item := range items {
+		if t, ok := m.target(item); ok {
+			m.node.Step(fleet.TargetListed{Target: t})
+		}
+	}
 }
 
 func (m *mirror) target(item follow.Item) (fleet.Target, bool) {
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -48,8 +48,7 @@
 // Store is the platform's store.
 type Store interface {
 	follow.Source
-	Put(ctx context.Context, key string, value []byte, lease uint64) error
-	Lease(ctx context.Context, ttl time.Duration) (uint64, error)
+	Put(ctx context.Context, key string, value []byte) error
 }
 
 // Options are what an instance is made of.
@@ -95,6 +94,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	i := &Instance{opts: opts, gossip: g, cancel: cancel, ctx: ctx}
 	g.versions = func() (uint64, uint64) { return 0, 0 }
+	g.watches = func() bool { return false }
 	shares := make(chan fleet.Gossip, sharesBuffered)
 	i.node = forward.NewNode(forward.Options{
 		Fleet: fleet.Options{
@@ -113,8 +113,9 @@
 	})
 	i.mirror = newMirror(opts.Decoder, i.node, opts.Log)
 	i.mirror.onInstance = i.instance
-	g.versions = i.mirror.versions
-	if i.exchange, err = listenExchange(s, i.mirror, opts.Log); err != nil {
+	i.mirror.onChange = func() { g.share(fleet.Gossip{}) }
+	g.versions, g.watches = i.mirror.versions, i.follows
+	if i.exchange, err = listenExchange(s, i.mirror, i.follows, opts.Log); err != nil {
 		i.Close()
 		return nil, fmt.Errorf("start instance %q: %w", s.Name, err)
 	}
@@ -151,11 +152,25 @@
 	return h.Sum64()
 }
 
+// follows reports whether this instance follows the store and gets answers.
+func (i *Instance) follows() bool { return i.gossip.shouldWatch() && i.mirror.follows() }
+
+// watch reports whether to follow the store now; otherwise peers that do pass
+// its changes on.
+func (i *Instance) watch() bool {
+	if i.gossip.shouldWatch() {
+		return true
+	}
+	i.mirror.Reachable(true, nil)
+	return false
+}
+
 // follow reads the whole store: the configuration, the targets, and the
 // addresses of the other instances. One watch for all costs the fewest calls.
 func (i *Instance) follow() {
 	f := &follow.Follower{
 		Source: i.opts.Store, Handler: i.mirror, Relist: true, Wait: i.opts.Settings.ConfigLag / watchesPerLag,
+		Active: i.watch,
 	}
 	go f.Run(i.ctx)
 	go i.appear()
@@ -179,11 +194,7 @@
 
 func (i *Instance) announce(s *Settings) error {
 	address := net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort))
-	lease, err := i.opts.Store.Lease(i.ctx, presenceTTL)
-	if err != nil {
-		return err
-	}
-	return i.opts.Store.Put(i.ctx, presencePrefix+s.Name, []byte(address), lease)
+	return i.opts.Store.Put(i.ctx, presencePrefix+s.Name, []byte(address))
 }
 
 func (i *Instance) listen(metrics *telemetry.Metrics) error {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -49,6 +49,8 @@
 	// firstBackoff and maxBackoff bound the wait after a failed call.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = 800 * time.Millisecond
+	// passiveStep is the time between two looks whether to follow.
+	passiveStep = 200 * time.Millisecond
 	// relistAfter is the time after the store's return at which the whole list
 	// is read again: by then entries that lapsed meanwhile are back.
 	relistAfter = 2200 * time.Millisecond
@@ -65,6 +67,9 @@
 	// Wait is how long a watch waits for a change. It bounds the time after which
 	// a watch that fell silent is noticed; each call has its price.
 	Wait time.Duration
+	// Active says whether to follow now; nil means always. Whoever does not
+	// follow hears of changes from others.
+	Active func() bool
 }
 
 // Run follows until ctx ends.
@@ -74,6 +79,11 @@
 	listed := false
 	var relistAt time.Time
 	for ctx.Err() == nil {
+		if f.Active != nil && !f.Active() {
+			listed, backoff = false, firstBackoff
+			sleep(ctx, passiveStep)
+			continue
+		}
 		var err error
 		if !listed {
 			revision, err = f.list(ctx)
