--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -8,6 +8,8 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/go-logr/logr"
+
 	"github.com/medlardeck/medlardeck/internal/fleet"
 	"github.com/medlardeck/medlardeck/internal/fleetnode"
 	"github.com/medlardeck/medlardeck/internal/telemetry"
@@ -33,6 +35,9 @@
 	if *check {
 		return exitOK
 	}
+	lines := telemetry.NewBounded(stdout)
+	defer lines.Close()
+	log := telemetry.NewLog(lines)
 	instance, err := fleetnode.Start(fleetnode.Options{
 		Settings: settings, Store: platform.NewStore(settings.StoreAddress),
 		Decoder: fleetnode.Decoder{
@@ -40,16 +45,35 @@
 			Config: platform.DecodeConfig, Target: platform.DecodeTarget, TargetID: platform.TargetID,
 		},
 		Dialect: platform.Dialect{}, Orders: platform.NewOrders(), Policy: fleet.Policy(*policy),
-		MetricsAddress: *metrics, Log: telemetry.NewLog(stdout),
+		MetricsAddress: *metrics, Log: log,
 	})
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
 		return exitError
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	signal.Ignore(syscall.SIGHUP)
-	<-signals
-	instance.Stop()
+	serveSignals(instance, *path, log)
 	return exitOK
 }
+
+// serveSignals reloads the settings on SIGHUP and stops on SIGTERM or an
+// interrupt.
+func serveSignals(instance *fleetnode.Instance, path string, log logr.Logger) {
+	signals := make(chan os.Signal, signalsBuffered)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
+	defer signal.Stop(signals)
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			instance.Stop()
+			return
+		}
+		settings, err := platform.LoadSettings(path)
+		if err != nil {
+			log.Info("settings-kept", "cause", err.Error())
+			continue
+		}
+		instance.Reload(settings)
+	}
+}
+
+// signalsBuffered bounds the signals that wait: a stop behind a few reloads.
+const signalsBuffered = 8
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -207,6 +207,12 @@
 // Count adds one to a counter under a reason.
 type Count struct{ Counter, Reason string }
 
+// Observe adds a time to a histogram under a route.
+type Observe struct {
+	Histogram, Route string
+	Value            time.Duration
+}
+
 // Log is one event for the log; Pairs alternate keys and values.
 type Log struct {
 	Event string
@@ -237,5 +243,6 @@
 func (Release) fleetEffect() {}
 func (Share) fleetEffect()   {}
 func (Count) fleetEffect()   {}
+func (Observe) fleetEffect() {}
 func (Log) fleetEffect()     {}
 func (Drained) fleetEffect() {}
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -297,6 +297,7 @@
 		a.longestPause = max(a.longestPause, c.now-a.lastAt)
 	} else {
 		a.firstAt = c.now - a.arrivedAt
+		c.emit(Observe{"first_event_seconds", a.arrive.Route.Name, a.firstAt})
 	}
 	a.begun, a.lastAt = true, c.now
 	a.target.aliveAt = c.now
@@ -504,6 +505,9 @@
 		"reason", f.Reason, "ran", a.ran, "unsent", a.unsent, "after_ms", int(ms(c.now-a.arrivedAt)),
 		"first_ms", int(ms(a.firstAt)), "longest_pause_ms", int(ms(a.longestPause)),
 		"retry_after_ms", int(ms(f.RetryAfter)))
+	if f.Outcome == Answered {
+		c.emit(Observe{"answer_seconds", a.arrive.Route.Name, c.now - a.arrivedAt})
+	}
 	c.count("requests_ended", f.Outcome.String()+reasonSuffix(f.Reason))
 	c.emit(f)
 }
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -240,6 +240,15 @@
 	return nil
 }
 
+// Reload takes settings that changed: the addresses of peers. The others apply
+// from the next start.
+func (i *Instance) Reload(s Settings) {
+	for _, seed := range s.Seeds {
+		i.instance(seed)
+	}
+	i.opts.Log.Info("settings-reloaded", "instance", s.Name, "seeds", len(s.Seeds))
+}
+
 // Stop ends the instance without interrupting requests, as far as the grace
 // time allows.
 func (i *Instance) Stop() {
--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,168 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+)
+
+// fakeStore is a Source whose calls a test decides.
+type fakeStore struct {
+	mu      sync.Mutex
+	lists   int
+	items   []Item
+	listErr error
+	changes func(ctx context.Context, after uint64) ([]Item, uint64, error)
+}
+
+func (f *fakeStore) List(context.Context, string) ([]Item, uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lists++
+	return f.items, 10, f.listErr
+}
+
+func (f *fakeStore) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) ([]Item, uint64, error) {
+	f.mu.Lock()
+	changes := f.changes
+	f.mu.Unlock()
+	if changes != nil {
+		return changes(ctx, after)
+	}
+	sleep(ctx, min(wait, 5*time.Millisecond))
+	return nil, after, ctx.Err()
+}
+
+// recorder is a Handler that keeps what it is told.
+type recorder struct {
+	mu        sync.Mutex
+	listed    int
+	changed   []Item
+	reachable []bool
+}
+
+func (r *recorder) Listed([]Item, uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.listed++
+}
+
+func (r *recorder) Changed(items []Item, _ uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.changed = append(r.changed, items...)
+}
+
+func (r *recorder) Reachable(ok bool, _ error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reachable = append(r.reachable, ok)
+}
+
+func (r *recorder) lists() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.listed
+}
+
+func (r *recorder) changes() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.changed)
+}
+
+func run(t *testing.T, f *Follower) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		f.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+func eventually(t *testing.T, limit time.Duration, ok func() bool) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(ok), wait.Timeout(limit), wait.Gap(5*time.Millisecond)))
+}
+
+// After lost history the whole list is read again.
+func TestLostHistoryIsListedAgain(t *testing.T) {
+	store, rec := &fakeStore{}, &recorder{}
+	compacted := true
+	store.changes = func(ctx context.Context, after uint64) ([]Item, uint64, error) {
+		if compacted {
+			compacted = false
+			return nil, 0, ErrCompacted
+		}
+		sleep(ctx, 5*time.Millisecond)
+		return nil, after, nil
+	}
+	run(t, &Follower{Source: store, Handler: rec, Wait: time.Second})
+	eventually(t, time.Second, func() bool { return rec.lists() == 2 })
+}
+
+// Changes go on from the revision that the last answer named.
+func TestChangesGoOnFromTheLastRevision(t *testing.T) {
+	store, rec := &fakeStore{}, &recorder{}
+	asked := make(chan uint64, 3)
+	store.changes = func(ctx context.Context, after uint64) ([]Item, uint64, error) {
+		select {
+		case asked <- after:
+		default:
+			<-ctx.Done()
+			return nil, 0, ctx.Err()
+		}
+		return []Item{{Key: "k", Revision: after + 2}}, after + 2, nil
+	}
+	run(t, &Follower{Source: store, Handler: rec, Wait: time.Second})
+	eventually(t, time.Second, func() bool { return rec.changes() == 3 })
+	must.Eq(t, []uint64{10, 12, 14}, []uint64{<-asked, <-asked, <-asked})
+}
+
+// Entries with leases come back after an outage, so the list is read once more
+// when they have.
+func TestListIsReadAgainAfterAnOutage(t *testing.T) {
+	store, rec := &fakeStore{}, &recorder{}
+	failed := false
+	store.changes = func(ctx context.Context, after uint64) ([]Item, uint64, error) {
+		if !failed {
+			failed = true
+			return nil, 0, errors.New("no answer")
+		}
+		sleep(ctx, 20*time.Millisecond)
+		return nil, after, nil
+	}
+	run(t, &Follower{Source: store, Handler: rec, Relist: true, Wait: time.Second})
+	eventually(t, relistAfter+2*time.Second, func() bool { return rec.lists() == 2 })
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	must.SliceContains(t, rec.reachable, false)
+}
+
+// A follower that is not wanted makes no calls, and lists first when it is.
+func TestPassiveFollowerMakesNoCalls(t *testing.T) {
+	store, rec := &fakeStore{}, &recorder{}
+	var mu sync.Mutex
+	active := false
+	run(t, &Follower{Source: store, Handler: rec, Wait: time.Second, Active: func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return active
+	}})
+	time.Sleep(2 * passiveStep)
+	must.Eq(t, 0, rec.lists())
+	mu.Lock()
+	active = true
+	mu.Unlock()
+	eventually(t, 2*time.Second, func() bool { return rec.lists() == 1 })
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -215,6 +215,8 @@
 		}
 	case fleet.Count:
 		n.opts.Metrics.Add(eff.Counter, eff.Reason)
+	case fleet.Observe:
+		n.opts.Metrics.Observe(eff.Histogram, eff.Route, eff.Value)
 	case fleet.Log:
 		n.opts.Log.Info(eff.Event, eff.Pairs...)
 	case fleet.Drained:
