Fleet: requests end in the product's numbered result codes

One copy of how a request can end: package result in place of outcomes of its own. The family decides the status on the platform: refused 503, time limits 504, otherwise 502; X-Medlardeck-Code names the code. Tests of fleet and platform pass.

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"github.com/medlardeck/medlardeck/internal/result"
+)
 
 // RequestID identifies a request within one entry instance.
 type RequestID uint64
@@ -161,29 +165,16 @@
 // Cancel tells the rim to close an attempt; nothing more of it counts.
 type Cancel struct{ Attempt AttemptID }
 
-// Outcome is what a request ends with when no answer of a target is passed on.
-type Outcome uint8
-
-// Outcomes of a request.
-const (
-	// Answered requests get what the target's attempt brings.
-	Answered Outcome = iota
-	// Refused requests have not run and never will.
-	Refused
-	// Failed requests may have run.
-	Failed
-	// TimedOut requests may have run and reached their time limit.
-	TimedOut
-	// Left requests have no caller any more.
-	Left
-)
-
 // Finish ends a request; there is exactly one for each Arrive.
 type Finish struct {
-	Request    RequestID
-	Outcome    Outcome
+	Request RequestID
+	// Code says how it ended. A code of the refused family says that the request
+	// has not run and never will.
+	Code result.Code
+	// PassOn tells the rim to hand over the answer that the last attempt brought.
+	PassOn bool
+	// RetryAfter is when a refused caller had better come again.
 	RetryAfter time.Duration
-	Reason     string
 }
 
 // Reserve tells the rim to set memory aside at a target under a ticket.
--- a/internal/fleet/place_test.go
+++ b/internal/fleet/place_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/medlardeck/medlardeck/internal/result"
 )
 
 // begin marks the first event of a request.
@@ -138,7 +140,7 @@
 	must.Eq(t, 0, len(w.ends))
 	w.wait(2 * time.Second)
 	if f, ended := w.ends[id]; ended {
-		must.Eq(t, Refused, f.Outcome)
+		must.Eq(t, result.FamilyRefused, f.Code.Family())
 		must.Greater(t, 0, f.RetryAfter)
 	} else {
 		must.GreaterEq(t, lateUrgency, w.last(id).Urgency)
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/medlardeck/medlardeck/internal/result"
 )
 
 func (w *world) usable(id string) bool {
@@ -19,7 +21,7 @@
 		must.Eq(t, "pool-01", w.last(w.arrive(routeShort, 1000)).Target.ID)
 	}
 	w.step(TargetRemoved{"pool-01"})
-	must.Eq(t, Refused, w.ends[w.arrive(routeShort, 1000)].Outcome)
+	must.Eq(t, result.FamilyRefused, w.ends[w.arrive(routeShort, 1000)].Code.Family())
 }
 
 func TestPeersTellOfLeavingTargets(t *testing.T) {
@@ -49,7 +51,7 @@
 func TestReusedAddressEndsTheFormerTarget(t *testing.T) {
 	w := newWorld(t, 1)
 	w.step(TargetListed{Target{ID: "other", Service: "app", Address: "10.0.0.0:pool", Domain: "a", StartedMS: 2}})
-	must.Eq(t, Refused, w.ends[w.arrive(routeShort, 1000)].Outcome)
+	must.Eq(t, result.FamilyRefused, w.ends[w.arrive(routeShort, 1000)].Code.Family())
 }
 
 func TestMisdirectedAnswerEndsTheTarget(t *testing.T) {
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -3,6 +3,8 @@
 import (
 	"strconv"
 	"time"
+
+	"github.com/medlardeck/medlardeck/internal/result"
 )
 
 // Times and limits of attempts.
@@ -94,7 +96,7 @@
 		c.demanded(a, e)
 	}
 	if c.suspicious(ev.Fingerprint) {
-		c.finish(a, Finish{Outcome: Refused, Reason: "suspect-request", RetryAfter: suspicionTime})
+		c.finish(a, Finish{Code: result.Quarantined, RetryAfter: suspicionTime})
 		return
 	}
 	c.after(a.deadline-c.now, func() { c.timeUp(ev.Request) })
@@ -129,9 +131,9 @@
 	case p.first != nil && c.yields(a, p):
 		c.wait(a)
 	case p.first != nil && c.unservable(a, p):
-		c.giveUp(a, "overload", min(maxRetryAfter, max(minRetryAfter, fromMS(p.firstEventMS))))
+		c.giveUp(a, result.DeadlineUnmet, min(maxRetryAfter, max(minRetryAfter, fromMS(p.firstEventMS))))
 	case p.first == nil:
-		c.giveUp(a, "no-target", noTargetRetryAfter)
+		c.giveUp(a, result.NoTarget, noTargetRetryAfter)
 	case p.ticketed:
 		c.reserve(a, p)
 	default:
@@ -411,7 +413,7 @@
 	case EndComplete:
 		c.succeeded(target)
 		c.vacate(a)
-		c.finish(a, Finish{Outcome: Answered})
+		c.finish(a, Finish{Code: result.Complete, PassOn: true})
 	case EndFailed:
 		c.failedTarget(a, false)
 		c.vacate(a)
@@ -437,7 +439,7 @@
 	case EndCallerGone:
 		c.vacate(a)
 		a.ran++
-		c.finish(a, Finish{Outcome: Left, Reason: "caller-left"})
+		c.finish(a, Finish{Code: result.CallerGone})
 	}
 }
 
@@ -470,11 +472,11 @@
 	case a.ran > 0 && !a.arrive.Route.Repeatable(),
 		a.ran >= max(1, a.arrive.Route.MaxAttempts),
 		a.unsent > maxUnsent:
-		c.giveUp(a, reason, minRetryAfter)
+		c.giveUp(a, result.TargetsRefused, minRetryAfter)
 	case c.suspicious(a.arrive.Fingerprint):
-		c.giveUp(a, "suspect-request", suspicionTime)
+		c.giveUp(a, result.Quarantined, suspicionTime)
 	case !c.takeRepeat(a.service):
-		c.giveUp(a, "retry-budget", minRetryAfter)
+		c.giveUp(a, result.RetryBudget, minRetryAfter)
 	default:
 		c.count("retries", reason)
 		c.dispatch(a)
@@ -483,14 +485,18 @@
 
 // giveUp ends a request for which no further attempt is made. It is refused
 // only if nothing of it ran.
-func (c *Core) giveUp(a *active, reason string, retryAfter time.Duration) {
+func (c *Core) giveUp(a *active, refusal result.Code, retryAfter time.Duration) {
 	switch {
 	case a.answered && !a.begun:
-		c.finish(a, Finish{Outcome: Answered, Reason: reason})
+		c.finish(a, Finish{Code: result.TargetError, PassOn: true})
 	case a.ran == 0 && !a.begun:
-		c.finish(a, Finish{Outcome: Refused, Reason: reason, RetryAfter: retryAfter})
+		c.finish(a, Finish{Code: refusal, RetryAfter: retryAfter})
+	case !a.arrive.Route.Repeatable():
+		c.finish(a, Finish{Code: result.BrokenAfterSend})
+	case a.begun:
+		c.finish(a, Finish{Code: result.ResumeFailed})
 	default:
-		c.finish(a, Finish{Outcome: Failed, Reason: reason})
+		c.finish(a, Finish{Code: result.TargetDied})
 	}
 }
 
@@ -501,28 +507,17 @@
 	delete(c.requests, a.arrive.Request)
 	c.releaseTickets(a)
 	f.Request = a.arrive.Request
-	c.log("request-ended", "request", a.arrive.ID, "route", a.arrive.Route.Name, "outcome", f.Outcome.String(),
-		"reason", f.Reason, "ran", a.ran, "unsent", a.unsent, "after_ms", int(ms(c.now-a.arrivedAt)),
+	c.log("request-ended", "request", a.arrive.ID, "route", a.arrive.Route.Name, "code", int(f.Code),
+		"result", f.Code.String(), "ran", a.ran, "unsent", a.unsent, "after_ms", int(ms(c.now-a.arrivedAt)),
 		"first_ms", int(ms(a.firstAt)), "longest_pause_ms", int(ms(a.longestPause)),
-		"retry_after_ms", int(ms(f.RetryAfter)))
-	if f.Outcome == Answered {
+		"last_end", a.last.End.String(), "retry_after_ms", int(ms(f.RetryAfter)))
+	if f.Code.Family() == result.FamilyComplete {
 		c.emit(Observe{"answer_seconds", a.arrive.Route.Name, c.now - a.arrivedAt})
 	}
-	c.count("requests_ended", f.Outcome.String()+reasonSuffix(f.Reason))
+	c.count("requests_ended", f.Code.String())
 	c.emit(f)
 }
 
-func reasonSuffix(reason string) string {
-	if reason == "" {
-		return ""
-	}
-	return ":" + reason
-}
-
-var outcomeNames = [...]string{"answered", "refused", "failed", "timed-out", "left"}
-
-func (o Outcome) String() string { return outcomeNames[o] }
-
 // timeUp ends a request whose time limit is reached.
 func (c *Core) timeUp(id RequestID) {
 	a := c.requests[id]
@@ -535,10 +530,14 @@
 		c.vacate(a)
 	}
 	if a.ran == 0 {
-		c.finish(a, Finish{Outcome: Refused, Reason: "time-limit", RetryAfter: minRetryAfter})
+		c.finish(a, Finish{Code: result.QueueTimeout, RetryAfter: minRetryAfter})
+		return
+	}
+	if a.arrive.Route.Repeatable() {
+		c.finish(a, Finish{Code: result.DeadlineRunning})
 		return
 	}
-	c.finish(a, Finish{Outcome: TimedOut, Reason: "time-limit"})
+	c.finish(a, Finish{Code: result.DeadlineAfterSend})
 }
 
 // callerLeft ends a request whose caller is gone. A call that may not be
@@ -556,5 +555,9 @@
 		a.ran++
 		c.vacate(a)
 	}
-	c.finish(a, Finish{Outcome: Left, Reason: "caller-left"})
+	if a.ran == 0 {
+		c.finish(a, Finish{Code: result.CallerGoneUnsent})
+		return
+	}
+	c.finish(a, Finish{Code: result.CallerGone})
 }
--- a/internal/fleet/request_test.go
+++ b/internal/fleet/request_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/medlardeck/medlardeck/internal/result"
 )
 
 func TestBookingIsSentOnceWhenItMayHaveRun(t *testing.T) {
@@ -15,9 +17,9 @@
 		w.step(AttemptEnd{Attempt: w.last(id).Attempt, End: end})
 		must.Eq(t, 1, w.sendsOf(id))
 		if end == EndBroken {
-			must.Eq(t, Failed, w.ends[id].Outcome)
+			must.Eq(t, result.BrokenAfterSend, w.ends[id].Code)
 		} else {
-			must.Eq(t, Answered, w.ends[id].Outcome)
+			must.True(t, w.ends[id].PassOn)
 		}
 	}
 }
@@ -33,7 +35,7 @@
 			w.step(AttemptEnd{Attempt: w.last(id).Attempt, End: EndNotRun})
 		}
 	}
-	must.Eq(t, Refused, w.ends[id].Outcome)
+	must.Eq(t, result.FamilyRefused, w.ends[id].Code.Family())
 	must.Greater(t, 0, w.ends[id].RetryAfter)
 }
 
@@ -43,7 +45,7 @@
 	w := newWorld(t, 0)
 	id := w.arrive(routeBook, 0)
 	w.wait(2 * time.Second)
-	must.Eq(t, TimedOut, w.ends[id].Outcome)
+	must.Eq(t, result.DeadlineAfterSend, w.ends[id].Code)
 	must.SliceContains(t, w.cancels, w.last(id).Attempt)
 }
 
@@ -67,7 +69,7 @@
 	must.NotEq(t, first.Target.ID, second.Target.ID)
 	w.step(AttemptEnd{Attempt: second.Attempt, End: EndBroken})
 	must.Eq(t, 2, w.sendsOf(id)) // the route allows two
-	must.Eq(t, Failed, w.ends[id].Outcome)
+	must.Eq(t, result.ResumeFailed, w.ends[id].Code)
 }
 
 // Callers leave a stream that is silent for two seconds: another target has to
@@ -99,7 +101,7 @@
 	id := w.arrive(routeShort, 4000)
 	w.step(CallerLeft{Request: id})
 	must.SliceContains(t, w.cancels, w.last(id).Attempt)
-	must.Eq(t, Left, w.ends[id].Outcome)
+	must.Eq(t, result.CallerGone, w.ends[id].Code)
 	for _, r := range w.core.runners {
 		must.SliceEmpty(t, r.flights)
 	}
@@ -115,7 +117,7 @@
 	w.step(AttemptEnd{Attempt: w.last(id).Attempt, End: EndBroken})
 	must.Eq(t, 1, w.sendsOf(id))
 	w.step(Arrive{Request: 99, Route: &w.config.Routes[routeShort], Config: w.config, Deadline: w.now + time.Second, PromptTokens: 1, Fingerprint: 1})
-	must.Eq(t, Refused, w.ends[99].Outcome)
+	must.Eq(t, result.FamilyRefused, w.ends[99].Code.Family())
 	must.Eq(t, 0, w.sendsOf(99))
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/medlardeck/medlardeck/internal/fleet"
+	"github.com/medlardeck/medlardeck/internal/result"
 )
 
 // callerWriteTimeout is how long a caller may take to read one event or answer
@@ -127,42 +128,47 @@
 // conclude writes the last of the answer.
 func (x *exchange) conclude(f fleet.Finish) {
 	if x.started {
-		if f.Outcome != fleet.Answered {
+		if !f.PassOn {
 			panic(http.ErrAbortHandler) // a stream cut short must look cut short
 		}
 		return
 	}
-	if f.Outcome == fleet.Answered && x.held != nil {
+	if f.PassOn && x.held != nil {
 		x.passOn(x.held)
 		return
 	}
-	x.node.fail(x.w, x.facts.ID, f)
+	x.node.fail(x.w, x.facts.ID, statusOf(f.Code), f)
 }
 
-// statuses of answers of our own. Old callers send a request again after 503,
-// which says that it has not run, and not after 502 and 504.
-func statusOf(o fleet.Outcome) int {
-	switch o {
-	case fleet.Refused:
+// statusOf is the status of an answer of our own. Callers of the platform send a
+// request again after 503, which says that it has not run; 502 and 504 promise
+// nothing.
+func statusOf(code result.Code) int {
+	switch {
+	case code.Family() == result.FamilyRefused:
 		return http.StatusServiceUnavailable
-	case fleet.TimedOut:
+	case code == result.DeadlineRunning || code == result.DeadlineAfterSend:
 		return http.StatusGatewayTimeout
 	default:
 		return http.StatusBadGateway
 	}
 }
 
+// headerCode carries the result code of an answer of our own.
+const headerCode = "X-Medlardeck-Code"
+
 // fail writes an answer of our own.
-func (n *Node) fail(w http.ResponseWriter, id string, f fleet.Finish) {
+func (n *Node) fail(w http.ResponseWriter, id string, status int, f fleet.Finish) {
 	h := w.Header()
 	n.opts.Dialect.NameAnswer(h, id)
-	if f.Outcome == fleet.Refused && f.RetryAfter > 0 {
+	h.Set(headerCode, strconv.Itoa(int(f.Code)))
+	if status == http.StatusServiceUnavailable && f.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', 2, 64))
 	}
 	if n.Stopping() {
 		h.Set("Connection", "close")
 	}
-	http.Error(w, f.Reason, statusOf(f.Outcome))
+	http.Error(w, f.Code.String(), status)
 }
 
 // passOn writes a target's whole answer.
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/medlardeck/medlardeck/internal/fleet"
+	"github.com/medlardeck/medlardeck/internal/result"
 )
 
 // Limits on callers where the configuration names none.
@@ -38,19 +39,19 @@
 		return
 	}
 	if config == nil {
-		n.refuse(w, r, facts, "no-configuration")
+		n.refuse(w, r, facts, result.NoConfiguration)
 		return
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	route := config.Match(r.Host, path)
 	if route == nil {
-		n.deny(w, r, facts, http.StatusNotFound, "unknown-route", stale)
+		n.deny(w, r, facts, http.StatusNotFound, result.UnknownRoute, stale)
 		return
 	}
 	var caller *fleet.Workspace
 	if config.Authenticates() && !route.Anonymous {
 		if caller = config.Authenticate(facts.Key); caller == nil {
-			n.deny(w, r, facts, http.StatusUnauthorized, "unknown-key", stale)
+			n.deny(w, r, facts, http.StatusUnauthorized, result.Unauthenticated, stale)
 			return
 		}
 	}
@@ -95,32 +96,32 @@
 
 func (n *Node) rejectBody(w http.ResponseWriter, facts Facts, err error) {
 	var tooLarge *http.MaxBytesError
-	status, reason := http.StatusBadRequest, "bad-body"
+	status, code := http.StatusBadRequest, result.BadRequest
 	if errors.As(err, &tooLarge) {
-		status, reason = http.StatusRequestEntityTooLarge, "body-too-large"
+		status, code = http.StatusRequestEntityTooLarge, result.BodyTooLarge
 	}
-	n.opts.Log.Info("request-rejected", "request", facts.ID, "status", status, "reason", reason, "cause", err.Error())
-	n.opts.Metrics.Add("rejections", reason)
-	n.opts.Dialect.NameAnswer(w.Header(), facts.ID)
+	n.opts.Log.Info("request-rejected", "request", facts.ID, "code", int(code), "result", code.String(), "cause", err.Error())
+	n.opts.Metrics.Add("refusals", code.String())
 	w.Header().Set("Connection", "close")
-	http.Error(w, reason, status)
+	n.fail(w, facts.ID, status, fleet.Finish{Code: code})
 }
 
 // deny answers a request that the configuration does not allow. An instance
 // whose configuration may be out of date refuses it instead.
-func (n *Node) deny(w http.ResponseWriter, r *http.Request, facts Facts, status int, reason string, stale bool) {
+func (n *Node) deny(w http.ResponseWriter, r *http.Request, facts Facts, status int, code result.Code, stale bool) {
+	n.opts.Log.Info("request-denied", "request", facts.ID, "code", int(code), "result", code.String(),
+		"host", r.Host, "path", r.URL.Path, "configuration_stale", stale)
 	if stale {
-		n.refuse(w, r, facts, reason+"-perhaps")
+		n.refuse(w, r, facts, result.NoConfiguration)
 		return
 	}
-	n.opts.Log.Info("request-denied", "request", facts.ID, "status", status, "reason", reason, "host", r.Host, "path", r.URL.Path)
-	n.opts.Metrics.Add("denials", reason)
-	n.opts.Dialect.NameAnswer(w.Header(), facts.ID)
-	http.Error(w, reason, status)
+	n.opts.Metrics.Add("refusals", code.String())
+	n.fail(w, facts.ID, status, fleet.Finish{Code: code})
 }
 
-func (n *Node) refuse(w http.ResponseWriter, r *http.Request, facts Facts, reason string) {
-	n.opts.Log.Info("request-refused", "request", facts.ID, "reason", reason, "host", r.Host)
-	n.opts.Metrics.Add("refusals", reason)
-	n.fail(w, facts.ID, fleet.Finish{Outcome: fleet.Refused, Reason: reason, RetryAfter: staleRetryAfter})
+// refuse answers a request before it reaches the decisions.
+func (n *Node) refuse(w http.ResponseWriter, r *http.Request, facts Facts, code result.Code) {
+	n.opts.Log.Info("request-refused", "request", facts.ID, "code", int(code), "result", code.String(), "host", r.Host)
+	n.opts.Metrics.Add("refusals", code.String())
+	n.fail(w, facts.ID, statusOf(code), fleet.Finish{Code: code, RetryAfter: staleRetryAfter})
 }
