--- a/internal/fleet/domain.go
+++ b/internal/fleet/domain.go
@@ -29,6 +29,15 @@
 	return d == nil || c.now >= d.avoidUntil
 }
 
+// probed notes that a request is sent to a target: one a second tries a target or
+// a domain that failed before.
+func (c *Core) probed(r *runner) {
+	r.health.probed(c.now)
+	if d := c.domains[r.Domain]; d != nil && len(d.failed) >= cutTargets {
+		d.avoidUntil = c.now + cutAvoidance
+	}
+}
+
 // domainFailed notes that a target could not be connected to.
 func (c *Core) domainFailed(r *runner) {
 	if r.Domain == c.opts.Domain {
--- a/internal/fleet/place_test.go
+++ b/internal/fleet/place_test.go
@@ -186,6 +186,28 @@
 	must.True(t, w.core.runners[bad].health.usable(w.now))
 }
 
+// A target that went dark costs one failed request a second, also under load.
+func TestOneRequestAtATimeProbesAFailedTarget(t *testing.T) {
+	w := newWorld(t, 2)
+	bad := "pool-00"
+	failures := 0
+	for range 200 {
+		id := w.arrive(routeShort, 1000)
+		s := w.last(id)
+		if s.Target.ID == bad {
+			failures++
+			w.core.after(250*time.Millisecond, func() {
+				w.core.handle(AttemptEnd{Attempt: s.Attempt, End: EndNotConnected})
+			})
+		} else {
+			w.step(AttemptEnd{Attempt: s.Attempt, End: EndComplete})
+		}
+		w.wait(20 * time.Millisecond)
+	}
+	must.Greater(t, 1, failures)
+	must.LessEq(t, 20, failures) // up to 13 before the first is noticed, then one a time
+}
+
 func TestPassWithALongReadIsPredictedWithItsPairs(t *testing.T) {
 	e := testEngine()
 	alone := e.readMS(133_000, 1)
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -213,6 +213,7 @@
 		}
 	}
 	c.occupy(a, p)
+	c.probed(p.first)
 	workspace := ""
 	if a.arrive.Caller != nil {
 		workspace = a.arrive.Caller.Name
--- a/internal/fleet/runner.go
+++ b/internal/fleet/runner.go
@@ -119,6 +119,7 @@
 type health struct {
 	rate       float64 // moving average of failures
 	inRow      int
+	failedAt   time.Duration
 	avoidUntil time.Duration
 }
 
@@ -127,6 +128,17 @@
 func (h *health) succeeded() {
 	h.rate *= 1 - failureWeight
 	h.inRow = 0
+	if h.rate < avoidedRate {
+		h.avoidUntil = 0
+	}
+}
+
+// probed notes that a request tries a target that failed before: the others wait
+// for how it ends.
+func (h *health) probed(now time.Duration) {
+	if h.inRow > 0 && now >= h.avoidUntil {
+		h.avoidUntil = now + firstAvoidance
+	}
 }
 
 // failed notes a failure; severe ones (no answer at all) count at once.
@@ -135,9 +147,10 @@
 	if !severe && h.rate < avoidedRate {
 		return
 	}
-	if now < h.avoidUntil { // other requests that the same failure ended
+	if h.inRow > 0 && now < h.failedAt+firstAvoidance/2 { // others that the same failure ended
 		return
 	}
+	h.failedAt = now
 	h.avoidUntil = now + min(maxAvoidance, firstAvoidance<<min(h.inRow, 3))
 	h.inRow++
 }
