--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -35,9 +35,6 @@
 	// memoryShare is the share of the memory limit at which the garbage collector
 	// works harder.
 	memoryShare = 0.7
-	// presenceTTL is the lifetime of the address in the store; an address that
-	// is out of date costs its peers a datagram now and then.
-	presenceTTL = 10 * time.Minute
 	// watchesPerLag is how often the watch is renewed in the time in which a
 	// configuration has to be in force: one that fell silent shows only then.
 	watchesPerLag = 3
