--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -52,7 +52,9 @@
 	errors   map[string]float64 // learnt, by service
 	domains  map[string]*domain // with failures since the last success
 	stopping bool
-	drained  bool
+	// Callers that come after lagEnds are taken only if they end by stopBy.
+	lagEnds, stopBy time.Duration
+	arrivedAt       time.Duration // when the last request came
 }
 
 // New returns decisions without configuration and targets.
@@ -79,10 +81,6 @@
 	}
 	c.handle(ev)
 	c.flush()
-	if c.stopping && !c.drained && len(c.requests) == 0 {
-		c.drained = true
-		c.emit(Drained{})
-	}
 	return c.out
 }
 
@@ -111,7 +109,7 @@
 	case PeerLoad:
 		c.peerLoad(ev)
 	case Stop:
-		c.stopping, c.drained = true, false
+		c.stop(ev)
 	case Tick:
 	}
 }
@@ -127,6 +125,37 @@
 // Stopping reports whether a planned stop has begun.
 func (c *Core) Stopping() bool { return c.stopping }
 
+func (c *Core) stop(ev Stop) {
+	if c.stopping {
+		return
+	}
+	c.stopping = true
+	c.lagEnds, c.stopBy = c.now+ev.Lag, c.now+ev.Grace
+}
+
+// Quiet reports whether no request is open and none came for a while.
+func (c *Core) Quiet(while time.Duration) bool {
+	return len(c.requests) == 0 && c.now-c.arrivedAt >= while
+}
+
+// endsInTime reports whether a request that comes during a stop can be answered
+// before the process ends.
+func (c *Core) endsInTime(a *active) bool {
+	if !c.stopping || c.now < c.lagEnds {
+		return true
+	}
+	need := stopFactor * a.arrive.Route.TargetLatency
+	if e := c.engine(a); e != nil {
+		step := e.StepMS + float64(e.Slots)*e.writerMS(float64(e.UsualPrompt))
+		need += fromMS(e.readMS(a.arrive.PromptTokens, 1) + float64(a.arrive.MaxAnswerTokens)*step)
+	}
+	return c.now+need < c.stopBy
+}
+
+// stopFactor is the multiple of its target latency that a request may take to
+// its first event, or to a plain answer, during a stop.
+const stopFactor = 2
+
 // Config returns the configuration in force, nil before the first.
 func (c *Core) Config() *Config { return c.config }
 
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -135,7 +135,13 @@
 type Tick struct{}
 
 // Stop begins a planned stop: the instance is no longer ready.
-type Stop struct{}
+type Stop struct {
+	// Lag is the time in which callers still come because the balancer has not
+	// noticed yet; later ones are taken only if they end in time.
+	Lag time.Duration
+	// Grace is the time until everything has to have ended.
+	Grace time.Duration
+}
 
 // Helper is a target that reads a part of a prompt.
 type Helper struct {
@@ -210,9 +216,6 @@
 	Pairs []any
 }
 
-// Drained says that a planned stop has nothing left in flight.
-type Drained struct{}
-
 func (Configure) fleetEvent()     {}
 func (TargetListed) fleetEvent()  {}
 func (TargetRemoved) fleetEvent() {}
@@ -236,4 +239,3 @@
 func (Count) fleetEffect()   {}
 func (Observe) fleetEffect() {}
 func (Log) fleetEffect()     {}
-func (Drained) fleetEffect() {}
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -95,6 +95,11 @@
 	if e := c.engine(a); e != nil {
 		c.demanded(a, e)
 	}
+	c.arrivedAt = c.now
+	if !c.endsInTime(a) {
+		c.finish(a, Finish{Code: result.Stopping, RetryAfter: minRetryAfter})
+		return
+	}
 	if c.suspicious(ev.Fingerprint) {
 		c.finish(a, Finish{Code: result.Quarantined, RetryAfter: suspicionTime})
 		return
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -32,6 +32,13 @@
 	balancerLag = 2500 * time.Millisecond
 	// stopMargin is the time before the kill at which open requests are cut.
 	stopMargin = 500 * time.Millisecond
+	// quietTime is how long no request may have come before the listener closes:
+	// where all instances of a domain stop, callers still come.
+	quietTime = 300 * time.Millisecond
+	quietStep = 50 * time.Millisecond
+	// lastArrivals is the time before the end of a stop at which the listener
+	// closes at the latest: what came before can end.
+	lastArrivals = 1500 * time.Millisecond
 	// memoryShare is the share of the memory limit at which the garbage collector
 	// works harder.
 	memoryShare = 0.7
@@ -250,10 +257,14 @@
 // time allows.
 func (i *Instance) Stop() {
 	i.opts.Log.Info("stopping", "instance", i.opts.Settings.Name)
+	grace := i.opts.Settings.StopGrace - stopMargin
 	begin := time.Now()
-	i.node.Step(fleet.Stop{})
+	i.node.Step(fleet.Stop{Lag: balancerLag, Grace: grace})
 	time.Sleep(balancerLag)
-	ctx, cancel := context.WithTimeout(i.ctx, i.opts.Settings.StopGrace-stopMargin-time.Since(begin))
+	for time.Since(begin) < grace-lastArrivals && !i.node.Quiet(quietTime) {
+		time.Sleep(quietStep)
+	}
+	ctx, cancel := context.WithTimeout(i.ctx, grace-time.Since(begin))
 	defer cancel()
 	err := i.callers.Shutdown(ctx)
 	i.opts.Log.Info("stopped", "instance", i.opts.Settings.Name, "cut_short", err != nil)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -85,7 +85,6 @@
 	stale     bool // the store is out of reach
 	timer     *time.Timer
 	armed     time.Duration
-	drained   chan struct{}
 	// configured is closed when a configuration is in force.
 	configured     chan struct{}
 	configuredOnce sync.Once
@@ -99,7 +98,7 @@
 	n := &Node{
 		opts: opts, clock: newClock(), pool: newPool(), core: fleet.New(opts.Fleet),
 		exchanges: make(map[fleet.RequestID]*exchange), attempts: make(map[fleet.AttemptID]*exchange),
-		drained: make(chan struct{}), configured: make(chan struct{}), ctx: ctx, cancel: cancel, armed: -1,
+		configured: make(chan struct{}), ctx: ctx, cancel: cancel, armed: -1,
 	}
 	n.mu.Lock() // the timer fires at once, and its step sets it again
 	defer n.mu.Unlock()
@@ -114,9 +113,6 @@
 	n.pool.close()
 }
 
-// Drained is closed when a planned stop has nothing left in flight.
-func (n *Node) Drained() <-chan struct{} { return n.drained }
-
 // Step feeds one event and carries out its effects.
 func (n *Node) Step(ev fleet.Event) {
 	n.mu.Lock()
@@ -169,6 +165,14 @@
 	return n.core.Config() != nil && !n.core.Stopping()
 }
 
+// Quiet reports whether no request is open and none came for a while.
+func (n *Node) Quiet(while time.Duration) bool {
+	n.Step(fleet.Tick{})
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.core.Quiet(while)
+}
+
 // Stopping reports whether a planned stop has begun.
 func (n *Node) Stopping() bool {
 	n.mu.Lock()
@@ -219,8 +223,6 @@
 		n.opts.Metrics.Observe(eff.Histogram, eff.Route, eff.Value)
 	case fleet.Log:
 		n.opts.Log.Info(eff.Event, eff.Pairs...)
-	case fleet.Drained:
-		close(n.drained)
 	}
 }
 
