--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -14,6 +14,10 @@
 	shareWhole = time.Second
 	// peerSilence is the time after which a silent peer's loads count no more.
 	peerSilence = 3 * shareWhole
+	// ExactPeers is the number of peers up to which each hears of every change.
+	// Above it, messages between failure domains would cost more than they bring:
+	// other domains get whole statements only.
+	ExactPeers = 40
 	// forgetPeer is the time after which a silent peer no longer counts among
 	// those that share the retry budget.
 	forgetPeer = 30 * time.Second
@@ -39,6 +43,11 @@
 	Left []string
 }
 
+// Urgent reports whether the message says more than loads.
+func (g *Gossip) Urgent() bool {
+	return g.Whole || len(g.Failed)+len(g.Suspects)+len(g.Left) > 0
+}
+
 func (g *Gossip) empty() bool {
 	return !g.Whole && len(g.Loads)+len(g.Begun)+len(g.Ended)+len(g.Failed)+len(g.Suspects)+len(g.Left) == 0
 }
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -56,6 +56,9 @@
 	delayCost = 0.05
 	// farCost is the cost of a target in another failure domain.
 	farCost = 0.002
+	// blindFarCost is the same where the loads of other domains are known only to
+	// the second.
+	blindFarCost = 0.1
 	// shortShare is the largest share of the longest pause that a prompt's
 	// reading may take to count as short.
 	shortShare = 0.25
@@ -267,7 +270,7 @@
 		if cand.load.helping >= cand.Slots || read.ms > cand.longest || cand.load.memory+memory > e.MemoryTokens {
 			continue
 		}
-		losses = append(losses, loss{cand, c.harm(e, cand, read, true, 0) + delayCost*cand.load.unread/1000 + farCost*c.far(cand.runner)})
+		losses = append(losses, loss{cand, c.harm(e, cand, read, true, 0) + delayCost*cand.load.unread/1000 + c.far(cand.runner)})
 	}
 	slices.SortStableFunc(losses, func(a, b loss) int { return cmp.Compare(a.harm, b.harm) })
 	var out []*candidate
@@ -278,11 +281,16 @@
 	return out
 }
 
+// far is the cost of a target's distance, as a share of a request's value.
 func (c *Core) far(r *runner) float64 {
-	if r.Domain == c.opts.Domain {
+	switch {
+	case r.Domain == c.opts.Domain:
 		return 0
+	case c.knownPeers() > ExactPeers:
+		return blindFarCost
+	default:
+		return farCost
 	}
-	return 1
 }
 
 // harm is the value that requests at the target lose when it reads that much for
@@ -356,7 +364,7 @@
 	if firstEvent > ms(a.firstBy()-c.now) {
 		gain = 0
 	}
-	score := gain - harm - full*(helperCost*float64(parts-1)+farCost*c.far(first.runner))
+	score := gain - harm - full*(helperCost*float64(parts-1)+c.far(first.runner))
 	score -= full * delayCost * min(1, firstEvent/max(1, ms(a.arrive.Route.TargetLatency)))
 	if parts == 1 && read.ms < a.shortMS() {
 		score += full * packing * min(1, float64(first.load.requests)/float64(max(1, first.Slots)))
--- a/internal/fleetnode/gossip.go
+++ b/internal/fleetnode/gossip.go
@@ -94,8 +94,9 @@
 	}
 }
 
-// addresses returns the peers' addresses.
-func (g *gossip) addresses() []netip.AddrPort {
+// addresses returns the addresses of the peers that a message is for: among very
+// many, those of other failure domains get urgent ones only.
+func (g *gossip) addresses(urgent bool) []netip.AddrPort {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	out := make([]netip.AddrPort, 0, len(g.peers))
@@ -104,7 +105,9 @@
 			delete(g.peers, a)
 			continue
 		}
-		out = append(out, a)
+		if urgent || c.domain == g.domain || len(g.peers) <= fleet.ExactPeers {
+			out = append(out, a)
+		}
 	}
 	return out
 }
@@ -114,7 +117,7 @@
 func (g *gossip) share(message fleet.Gossip) {
 	d := datagram{From: g.name, Domain: g.domain, Watches: g.watches(), Gossip: message}
 	d.ConfigVersion, d.StoreRevision = g.versions()
-	peers := g.addresses()
+	peers := g.addresses(message.Urgent())
 	if message.Whole {
 		d.Peers = peers[:min(len(peers), maxIntroductions)]
 	}
