--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -128,12 +128,18 @@
 	case c.opts.Policy == PolicyRoundRobin:
 		c.turn[a.service]++
 		return plan{first: pool[c.turn[a.service]%len(pool)], firstEventMS: ms(a.arrive.Route.TargetLatency)}
-	case e == nil || a.arrive.PromptTokens == 0 || c.opts.Policy == PolicyLeastOutstanding:
+	case e == nil || a.arrive.PromptTokens == 0 || !c.predicts():
 		return plan{first: c.leastOutstanding(pool), firstEventMS: ms(a.arrive.Route.TargetLatency)}
 	}
 	return c.mostValuable(a, e, pool)
 }
 
+// predicts reports whether plans carry predictions; those of the baselines don't.
+func (c *Core) predicts() bool {
+	return c.opts.Policy != PolicyRoundRobin && c.opts.Policy != PolicyLeastOutstanding
+}
+
+// engine returns the engines' figures, nil for plain services.
 func (c *Core) engine(a *active) *Engine {
 	if s := a.arrive.Config.Services[a.service]; s != nil {
 		return s.Engine
--- a/internal/fleet/place_test.go
+++ b/internal/fleet/place_test.go
@@ -233,3 +233,16 @@
 	}
 	must.Eq(t, run(), run())
 }
+
+// Baselines send at once: they neither hold requests back nor refuse them.
+func TestBaselinesSendAtOnce(t *testing.T) {
+	for _, policy := range []Policy{PolicyRoundRobin, PolicyLeastOutstanding} {
+		w := newWorld(t, 2)
+		w.core.opts.Policy = policy
+		for range 60 {
+			s := w.last(w.arrive(routeShort, 5000))
+			must.Less(t, lateUrgency, s.Urgency)
+		}
+		must.Eq(t, 0, w.logs["wait"])
+	}
+}
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -159,7 +159,7 @@
 // first, or one that would cost others more than it is worth.
 func (c *Core) yields(a *active, p plan) bool {
 	e := c.engine(a)
-	if e == nil || a.begun || p.gain-p.harm >= c.price(a, e) && p.inTime >= hopeless {
+	if e == nil || !c.predicts() || a.begun || p.gain-p.harm >= c.price(a, e) && p.inTime >= hopeless {
 		return false
 	}
 	l := p.first.loadOf(e)
@@ -174,7 +174,7 @@
 
 // unservable reports whether the first event would come after the caller left.
 func (c *Core) unservable(a *active, p plan) bool {
-	return c.engine(a) != nil && !a.begun && p.gain == 0 && c.opts.Policy != PolicyRoundRobin && c.opts.Policy != PolicyLeastOutstanding
+	return c.engine(a) != nil && c.predicts() && !a.begun && p.gain == 0
 }
 
 // mayWait reports whether targets are there that may have room for the request
@@ -244,7 +244,7 @@
 		priority = *w.Priority
 	}
 	priority = min(lateUrgency-1, max(0, priority))
-	if c.engine(a) != nil && p.inTime < hopeless && !a.begun {
+	if c.engine(a) != nil && c.predicts() && p.inTime < hopeless && !a.begun {
 		priority += lateUrgency
 	}
 	return priority
