--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,7 +5,6 @@
 package entry
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"time"
 
@@ -16,6 +15,7 @@
 	"github.com/medlardeck/medlardeck/internal/request"
 	"github.com/medlardeck/medlardeck/internal/routing"
 	"github.com/medlardeck/medlardeck/internal/target"
+	"github.com/medlardeck/medlardeck/internal/timers"
 	"github.com/medlardeck/medlardeck/internal/workspace"
 )
 
@@ -63,8 +63,7 @@
 	now  time.Duration
 	out  []Effect
 
-	timers   timerHeap
-	timerSeq uint64
+	timers timers.Queue
 
 	accepted configuration.Accepted
 	index    configuration.Index
@@ -149,7 +148,7 @@
 func (e *Entry) Step(now time.Duration, ev Event) []Effect {
 	e.now = max(e.now, now)
 	e.out = e.out[:0]
-	e.runTimers()
+	e.timers.Run(e.now)
 	switch ev := ev.(type) {
 	case Arrive:
 		e.arrive(ev)
@@ -191,10 +190,7 @@
 
 // Next returns the time of the next timer; ok is false when there is none.
 func (e *Entry) Next() (at time.Duration, ok bool) {
-	if len(e.timers) == 0 {
-		return 0, false
-	}
-	return e.timers[0].at, true
+	return e.timers.Next()
 }
 
 func (e *Entry) emit(eff Effect) { e.out = append(e.out, eff) }
@@ -209,34 +205,5 @@
 // after runs fn at the first Step at or after now+d. Timers are not cancelled:
 // fn checks whether it still applies.
 func (e *Entry) after(d time.Duration, fn func()) {
-	e.timerSeq++
-	heap.Push(&e.timers, timer{at: e.now + d, seq: e.timerSeq, fn: fn})
-}
-
-func (e *Entry) runTimers() {
-	for len(e.timers) > 0 && e.timers[0].at <= e.now {
-		heap.Pop(&e.timers).(timer).fn()
-	}
-}
-
-type timer struct {
-	at  time.Duration
-	seq uint64 // orders timers of the same time
-	fn  func()
-}
-
-type timerHeap []timer
-
-func (h timerHeap) Len() int { return len(h) }
-func (h timerHeap) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
-}
-func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *timerHeap) Push(x any)   { *h = append(*h, x.(timer)) }
-func (h *timerHeap) Pop() any {
-	old := *h
-	t := old[len(old)-1]
-	old[len(old)-1] = timer{}
-	*h = old[:len(old)-1]
-	return t
+	e.timers.Set(e.now+d, fn)
 }
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -1,10 +1,11 @@
 package fleet
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/medlardeck/medlardeck/internal/timers"
 )
 
 // Options are the settings of the decisions of one instance.
@@ -30,8 +31,7 @@
 	now  time.Duration
 	out  []Effect
 
-	timers   timerHeap
-	timerSeq uint64
+	timers timers.Queue
 
 	config    *Config
 	runners   map[string]*runner
@@ -76,9 +76,7 @@
 func (c *Core) Step(now time.Duration, ev Event) []Effect {
 	c.now = max(c.now, now)
 	c.out = c.out[:0]
-	for len(c.timers) > 0 && c.timers[0].at <= c.now {
-		heap.Pop(&c.timers).(timer).fn()
-	}
+	c.timers.Run(c.now)
 	c.handle(ev)
 	c.flush()
 	return c.out
@@ -116,10 +114,7 @@
 
 // Next returns the time of the next timer; ok is false when there is none.
 func (c *Core) Next() (at time.Duration, ok bool) {
-	if len(c.timers) == 0 {
-		return 0, false
-	}
-	return c.timers[0].at, true
+	return c.timers.Next()
 }
 
 // Stopping reports whether a planned stop has begun.
@@ -177,30 +172,7 @@
 // after runs fn at the first Step at or after now+d. Timers are not cancelled:
 // fn checks whether it still applies.
 func (c *Core) after(d time.Duration, fn func()) {
-	c.timerSeq++
-	heap.Push(&c.timers, timer{at: c.now + d, seq: c.timerSeq, fn: fn})
-}
-
-type timer struct {
-	at  time.Duration
-	seq uint64 // orders timers of the same time
-	fn  func()
-}
-
-type timerHeap []timer
-
-func (h timerHeap) Len() int { return len(h) }
-func (h timerHeap) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
-}
-func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *timerHeap) Push(x any)   { *h = append(*h, x.(timer)) }
-func (h *timerHeap) Pop() any {
-	old := *h
-	t := old[len(old)-1]
-	old[len(old)-1] = timer{}
-	*h = old[:len(old)-1]
-	return t
+	c.timers.Set(c.now+d, fn)
 }
 
 // suspect counts the runs of one request that ended with a broken connection.
--- a/internal/fleetnode/exchange.go
+++ b/internal/fleetnode/exchange.go
@@ -71,10 +71,27 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers at %s: %w", address, err)
 	}
-	go server.Accept(listener)
+	go accept(server, listener, log)
 	return &exchanger{mirror: m, follows: follows, log: log, port: s.ExchangePort, listener: listener}, nil
 }
 
+// accept serves peers until the listener is closed.
+func accept(server *rpc.Server, listener net.Listener, log logr.Logger) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			log.Info("peer-exchange-closed", "cause", err.Error())
+			return
+		}
+		// A peer asks once and closes; one that falls silent is cut.
+		if err := conn.SetDeadline(time.Now().Add(2 * exchangeTimeout)); err != nil {
+			_ = conn.Close()
+			continue
+		}
+		go server.ServeConn(conn)
+	}
+}
+
 // news is told of a peer's message, and asks the peer for what is newer there
 // and does not come from the store itself.
 func (x *exchanger) news(peer netip.AddrPort, d *datagram) {
