--- a/internal/booking/booking.go
+++ b/internal/booking/booking.go
@@ -14,7 +14,7 @@
 import (
 	"time"
 
-	"github.com/medlardeck/medlardeck/internal/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 // Defaults of Options.
@@ -120,7 +120,7 @@
 	// Jitter returns a random time below d.
 	Jitter(d time.Duration) time.Duration
 	// Store calls the platform's store and passes the reply to fn.
-	Store(call platform.Call, fn func(platform.Reply))
+	Store(call store.Call, fn func(store.Reply))
 	// Owner names the instance that should write a shard.
 	Owner(shard int) string
 	// Tell sends a message to another instance; false if it is unknown.
--- a/internal/booking/commit.go
+++ b/internal/booking/commit.go
@@ -6,12 +6,12 @@
 	"strconv"
 	"time"
 
-	"github.com/medlardeck/medlardeck/internal/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 // maxBatchBytes bounds what one commit adds to a head, well below the largest
 // value of the store.
-const maxBatchBytes = platform.MaxValueBytes / 2
+const maxBatchBytes = store.MaxValueBytes / 2
 
 // write commits what waits, after sealing a head that has grown full.
 func (s *shard) write() {
@@ -147,25 +147,25 @@
 	host := s.book.host
 	base, start := s.revision, host.Now()
 	s.notBefore = host.Now() + s.book.opts.CommitInterval
-	call := platform.Call{Op: platform.OpCAS, Key: headKey(s.number), Value: encode(bt.next), Revision: base, Budget: writeBudget}
-	s.call(call, func(r platform.Reply) {
+	call := store.Call{Op: store.OpCAS, Key: headKey(s.number), Value: encode(bt.next), Revision: base, Budget: writeBudget}
+	s.call(call, func(r store.Reply) {
 		host.Count(CounterCommits, string(r.Status))
 		for _, o := range bt.claims {
 			o.flying = false
-			o.attempted = o.attempted || r.Status == platform.StatusUnknown
+			o.attempted = o.attempted || r.Status == store.StatusUnknown
 		}
 		switch r.Status {
-		case platform.StatusOK:
+		case store.StatusOK:
 			s.freshAt = start
 			s.committed(bt, r.Revision)
-		case platform.StatusConflict:
+		case store.StatusConflict:
 			s.loaded = false
 			s.notBefore = host.Now() + host.Jitter(backoffBase)
-		case platform.StatusUnknown:
+		case store.StatusUnknown:
 			s.loaded = false
 			s.doubt = base
 			s.failed(reasonWriteUnknown)
-		case platform.StatusUnsent, platform.StatusRefused, platform.StatusNotFound:
+		case store.StatusUnsent, store.StatusRefused, store.StatusNotFound:
 			s.failed("write-" + string(r.Status))
 		}
 	})
@@ -206,21 +206,21 @@
 	for i := range records {
 		seg.Expires = max(seg.Expires, records[i].Expires)
 	}
-	call := platform.Call{
-		Op: platform.OpCAS, Key: segmentKey(s.number, seg.Number), Value: encode(records), Budget: writeBudget,
+	call := store.Call{
+		Op: store.OpCAS, Key: segmentKey(s.number, seg.Number), Value: encode(records), Budget: writeBudget,
 	}
-	s.call(call, func(r platform.Reply) {
+	s.call(call, func(r store.Reply) {
 		s.book.host.Count(CounterShards, "seal-"+string(r.Status))
 		switch r.Status {
-		case platform.StatusOK:
+		case store.StatusOK:
 			s.referTo(seg, r.Revision, records)
-		case platform.StatusConflict, platform.StatusUnknown:
+		case store.StatusConflict, store.StatusUnknown:
 			// The number is taken, perhaps by the write whose answer was lost.
 			s.head.NextSegment++
-			if r.Status == platform.StatusUnknown {
+			if r.Status == store.StatusUnknown {
 				s.failed("seal-unknown")
 			}
-		case platform.StatusUnsent, platform.StatusRefused, platform.StatusNotFound:
+		case store.StatusUnsent, store.StatusRefused, store.StatusNotFound:
 			s.failed("write-" + string(r.Status))
 		}
 	})
@@ -241,21 +241,21 @@
 
 // droppedSegments returns the keys of segments that the next head refers to no
 // more, and of those that no head ever did.
-func (s *shard) droppedSegments(next Head) []platform.KV {
+func (s *shard) droppedSegments(next Head) []store.KV {
 	dropped := s.stale
 	s.stale = nil
 	for _, seg := range s.head.Segments {
 		if slices.Contains(next.Segments, seg) {
 			continue
 		}
-		dropped = append(dropped, platform.KV{Key: segmentKey(s.number, seg.Number), Revision: s.segments[seg.Number]})
+		dropped = append(dropped, store.KV{Key: segmentKey(s.number, seg.Number), Revision: s.segments[seg.Number]})
 		delete(s.segments, seg.Number)
 	}
 	return dropped
 }
 
 // dropSegments deletes segments whose records have all expired.
-func (s *shard) dropSegments(dropped []platform.KV) {
+func (s *shard) dropSegments(dropped []store.KV) {
 	if len(dropped) == 0 {
 		return
 	}
@@ -264,6 +264,6 @@
 	clock := s.clock()
 	maps.DeleteFunc(s.sealed, func(_ Key, rec *Record) bool { return rec.Expires <= clock })
 	for _, kv := range dropped {
-		s.book.host.Store(platform.Call{Op: platform.OpDelete, Key: kv.Key, Revision: kv.Revision, Budget: writeBudget}, func(platform.Reply) {})
+		s.book.host.Store(store.Call{Op: store.OpDelete, Key: kv.Key, Revision: kv.Revision, Budget: writeBudget}, func(store.Reply) {})
 	}
 }
--- a/internal/booking/load.go
+++ b/internal/booking/load.go
@@ -3,18 +3,18 @@
 import (
 	"strconv"
 
-	"github.com/medlardeck/medlardeck/internal/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 // load reads the head record and the segments that are not yet known.
 func (s *shard) load() {
 	start := s.book.host.Now()
-	s.call(platform.Call{Op: platform.OpGet, Key: headKey(s.number), Budget: readBudget}, func(r platform.Reply) {
-		if r.Status == platform.StatusOK || r.Status == platform.StatusNotFound {
+	s.call(store.Call{Op: store.OpGet, Key: headKey(s.number), Budget: readBudget}, func(r store.Reply) {
+		if r.Status == store.StatusOK || r.Status == store.StatusNotFound {
 			s.freshAt = start
 		}
 		switch r.Status {
-		case platform.StatusOK:
+		case store.StatusOK:
 			h, err := decodeHead(r.KVs[0].Value)
 			if err != nil {
 				s.book.host.Log("claims-head-faulty", "shard", strconv.Itoa(s.number), "error", err.Error())
@@ -22,9 +22,9 @@
 				return
 			}
 			s.adopt(h, r.Revision)
-		case platform.StatusNotFound:
+		case store.StatusNotFound:
 			s.adopt(Head{Format: formatVersion}, 0)
-		case platform.StatusConflict, platform.StatusUnsent, platform.StatusUnknown, platform.StatusRefused:
+		case store.StatusConflict, store.StatusUnsent, store.StatusUnknown, store.StatusRefused:
 			s.failed("load-" + string(r.Status))
 		}
 	})
@@ -73,12 +73,12 @@
 
 // loadSegments reads all segments after a key in pages.
 func (s *shard) loadSegments(after string) {
-	call := platform.Call{Op: platform.OpRange, Key: segmentPrefix(s.number), After: after, Budget: readBudget}
+	call := store.Call{Op: store.OpRange, Key: segmentPrefix(s.number), After: after, Budget: readBudget}
 	if after == "" {
 		call.After = s.lastKnownSegment()
 	}
-	s.call(call, func(r platform.Reply) {
-		if r.Status != platform.StatusOK {
+	s.call(call, func(r store.Reply) {
+		if r.Status != store.StatusOK {
 			s.failed("load-" + string(r.Status))
 			return
 		}
@@ -110,7 +110,7 @@
 	return last
 }
 
-func (s *shard) takeSegment(kv platform.KV) {
+func (s *shard) takeSegment(kv store.KV) {
 	for _, seg := range s.head.Segments {
 		if segmentKey(s.number, seg.Number) != kv.Key {
 			continue
--- a/internal/booking/shard.go
+++ b/internal/booking/shard.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"github.com/medlardeck/medlardeck/internal/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 // reasonWriteUnknown counts writes without an answer.
@@ -52,7 +52,7 @@
 	// carry holds records that the store lost by a restore from older data.
 	carry []Record
 	// stale are segment keys that no head refers to any more.
-	stale []platform.KV
+	stale []store.KV
 
 	claims  []*op
 	settles []*op
@@ -233,9 +233,9 @@
 }
 
 // call makes the shard's one call to the store.
-func (s *shard) call(c platform.Call, fn func(platform.Reply)) {
+func (s *shard) call(c store.Call, fn func(store.Reply)) {
 	s.busy = true
-	s.book.host.Store(c, func(r platform.Reply) {
+	s.book.host.Store(c, func(r store.Reply) {
 		s.busy = false
 		fn(r)
 		s.kick()
--- a/internal/configuration/configuration_test.go
+++ b/internal/configuration/configuration_test.go
@@ -12,7 +12,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"github.com/medlardeck/medlardeck/internal/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 func sampleIntent(workspaces int) Intent {
@@ -204,7 +204,7 @@
 func TestManyWorkspacesFitTheStore(t *testing.T) {
 	snap, _ := accept(t, EmptySnapshot(), sampleIntent(24000))
 	for name, raw := range snap.segments {
-		must.Less(t, platform.MaxValueBytes, len(raw), must.Sprint(name))
+		must.Less(t, store.MaxValueBytes, len(raw), must.Sprint(name))
 	}
 	in, err := snap.Intent()
 	must.NoError(t, err)
--- a/internal/configuration/confirm.go
+++ b/internal/configuration/confirm.go
@@ -4,7 +4,7 @@
 	"strings"
 	"time"
 
-	"github.com/medlardeck/medlardeck/internal/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 // Verdict is what is known of a confirmation.
@@ -47,9 +47,9 @@
 	plan   *Plan
 	next   *Snapshot
 	floor  Revision // a store below it is behind
-	writes []platform.Call
+	writes []store.Call
 	// created are the removals of what this call wrote, for a plan that lost.
-	created []platform.Call
+	created []store.Call
 
 	stage   confirmStage
 	modRev  int64 // store revision of the root that the swap expects
@@ -83,7 +83,7 @@
 	}
 	c := &Confirm{plan: p, next: next, floor: max(p.Base, newest)}
 	create := func(key string, value []byte) {
-		c.writes = append(c.writes, platform.Call{Op: platform.OpCAS, Key: key, Value: value})
+		c.writes = append(c.writes, store.Call{Op: store.OpCAS, Key: key, Value: value})
 	}
 	if base.Root.Revision > 0 {
 		create(KeyHistory(base.Root.Revision), mustJSON(base.Root))
@@ -116,10 +116,10 @@
 }
 
 // Next implements Procedure.
-func (c *Confirm) Next(r platform.Reply) (platform.Call, bool) {
+func (c *Confirm) Next(r store.Reply) (store.Call, bool) {
 	c.handle(r)
 	if c.stage == confirmEnd {
-		return platform.Call{}, false
+		return store.Call{}, false
 	}
 	if c.waiting {
 		c.waiting = false
@@ -128,21 +128,21 @@
 	return c.call(), true
 }
 
-func (c *Confirm) call() platform.Call {
+func (c *Confirm) call() store.Call {
 	switch c.stage {
 	case confirmWrite:
 		return c.writes[0]
 	case confirmClean:
 		return c.created[0]
 	case confirmSwap:
-		return platform.Call{Op: platform.OpCAS, Key: KeyRoot, Value: mustJSON(c.next.Root), Revision: c.modRev}
+		return store.Call{Op: store.OpCAS, Key: KeyRoot, Value: mustJSON(c.next.Root), Revision: c.modRev}
 	case confirmHistory:
-		return platform.Call{Op: platform.OpGet, Key: KeyHistory(c.plan.Base + 1)}
+		return store.Call{Op: store.OpGet, Key: KeyHistory(c.plan.Base + 1)}
 	}
-	return platform.Call{Op: platform.OpGet, Key: KeyRoot}
+	return store.Call{Op: store.OpGet, Key: KeyRoot}
 }
 
-func (c *Confirm) handle(r platform.Reply) {
+func (c *Confirm) handle(r store.Reply) {
 	if r.Status == "" {
 		return // the start, or a wait is over
 	}
@@ -160,17 +160,17 @@
 	}
 }
 
-func (c *Confirm) readRoot(r platform.Reply) {
+func (c *Confirm) readRoot(r store.Reply) {
 	var root Root
 	switch r.Status {
-	case platform.StatusOK:
+	case store.StatusOK:
 		var err error
 		if root, err = ParseRoot(r); err != nil {
 			c.again()
 			return
 		}
 		c.modRev = r.KVs[0].Revision
-	case platform.StatusNotFound:
+	case store.StatusNotFound:
 		c.modRev = 0
 	default:
 		c.again()
@@ -217,11 +217,11 @@
 	return c.plan.Reassert && root.Revision <= c.plan.Base
 }
 
-func (c *Confirm) wrote(r platform.Reply) {
+func (c *Confirm) wrote(r store.Reply) {
 	switch r.Status {
-	case platform.StatusOK, platform.StatusConflict: // keys are written once
-		if key := c.writes[0].Key; r.Status == platform.StatusOK && !strings.HasPrefix(key, prefixHistory) {
-			c.created = append(c.created, platform.Call{Op: platform.OpDelete, Key: key, Revision: r.Revision})
+	case store.StatusOK, store.StatusConflict: // keys are written once
+		if key := c.writes[0].Key; r.Status == store.StatusOK && !strings.HasPrefix(key, prefixHistory) {
+			c.created = append(c.created, store.Call{Op: store.OpDelete, Key: key, Revision: r.Revision})
 		}
 		c.writes = c.writes[1:]
 		if len(c.writes) == 0 {
@@ -232,14 +232,14 @@
 	}
 }
 
-func (c *Confirm) swapped(r platform.Reply) {
+func (c *Confirm) swapped(r store.Reply) {
 	switch r.Status {
-	case platform.StatusOK:
+	case store.StatusOK:
 		c.end(VerdictAccepted)
-	case platform.StatusConflict, platform.StatusNotFound:
+	case store.StatusConflict, store.StatusNotFound:
 		c.stage = confirmRead
 		c.again()
-	case platform.StatusUnknown:
+	case store.StatusUnknown:
 		c.sent = true
 		c.stage = confirmRead // read back; the swap is repeated if the base still stands
 		c.again()
@@ -248,9 +248,9 @@
 	}
 }
 
-func (c *Confirm) readHistory(r platform.Reply) {
+func (c *Confirm) readHistory(r store.Reply) {
 	switch r.Status {
-	case platform.StatusOK:
+	case store.StatusOK:
 		root, err := ParseRoot(r)
 		if err != nil {
 			c.again()
@@ -262,7 +262,7 @@
 			return
 		}
 		c.lost(root)
-	case platform.StatusNotFound:
+	case store.StatusNotFound:
 		c.end(VerdictUnknown) // older than the history that is kept
 	default:
 		c.again()
@@ -294,9 +294,9 @@
 
 // clean goes on to the next removal while the store answers; the operator
 // waits for the verdict.
-func (c *Confirm) clean(r platform.Reply) {
+func (c *Confirm) clean(r store.Reply) {
 	c.created = c.created[1:]
-	answered := r.Status == platform.StatusOK || r.Status == platform.StatusNotFound || r.Status == platform.StatusConflict
+	answered := r.Status == store.StatusOK || r.Status == store.StatusNotFound || r.Status == store.StatusConflict
 	if len(c.created) == 0 || !answered {
 		c.stage = confirmEnd
 	}
--- a/internal/configuration/plan.go
+++ b/internal/configuration/plan.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"github.com/medlardeck/medlardeck/internal/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 // PlanLife is how long a plan waits for its confirmation.
@@ -148,7 +148,7 @@
 // SavePlan is the procedure that stores a plan for its confirmation at any
 // instance, under a lease.
 type SavePlan struct {
-	calls []platform.Call
+	calls []store.Call
 	lease int64
 	stage int
 	tries int
@@ -163,20 +163,20 @@
 	for chunk := range slices.Chunk(raw, maxPartBytes) {
 		parts = append(parts, chunk)
 	}
-	s := &SavePlan{calls: []platform.Call{{Op: platform.OpLeaseGrant, TTL: PlanLife}}}
+	s := &SavePlan{calls: []store.Call{{Op: store.OpLeaseGrant, TTL: PlanLife}}}
 	for i, data := range parts {
-		s.calls = append(s.calls, platform.Call{
-			Op: platform.OpCAS, Key: KeyPlan(p.ID, i), Value: mustJSON(planPart{Parts: len(parts), Data: data}),
+		s.calls = append(s.calls, store.Call{
+			Op: store.OpCAS, Key: KeyPlan(p.ID, i), Value: mustJSON(planPart{Parts: len(parts), Data: data}),
 		})
 	}
 	return s
 }
 
 // Next implements Procedure.
-func (s *SavePlan) Next(r platform.Reply) (platform.Call, bool) {
+func (s *SavePlan) Next(r store.Reply) (store.Call, bool) {
 	switch r.Status {
 	case "":
-	case platform.StatusOK, platform.StatusConflict:
+	case store.StatusOK, store.StatusConflict:
 		if s.stage == 0 {
 			s.lease = r.Lease
 		}
@@ -185,11 +185,11 @@
 	default:
 		if s.tries++; s.tries >= maxTries {
 			s.Err = fmt.Errorf("store plan: %w", &StoreError{Status: r.Status})
-			return platform.Call{}, false
+			return store.Call{}, false
 		}
 	}
 	if s.stage == len(s.calls) {
-		return platform.Call{}, false
+		return store.Call{}, false
 	}
 	call := s.calls[s.stage]
 	call.Lease = s.lease
@@ -212,12 +212,12 @@
 func NewLoadPlan(id string) *LoadPlan { return &LoadPlan{id: id, parts: 1} }
 
 // Next implements Procedure.
-func (l *LoadPlan) Next(r platform.Reply) (platform.Call, bool) {
+func (l *LoadPlan) Next(r store.Reply) (store.Call, bool) {
 	switch r.Status {
 	case "":
-	case platform.StatusOK:
+	case store.StatusOK:
 		l.take(r)
-	case platform.StatusNotFound:
+	case store.StatusNotFound:
 		l.Err = ErrNoPlan
 	default:
 		if l.tries++; l.tries >= maxTries {
@@ -225,12 +225,12 @@
 		}
 	}
 	if l.Err != nil || l.part == l.parts {
-		return platform.Call{}, false
+		return store.Call{}, false
 	}
-	return platform.Call{Op: platform.OpGet, Key: KeyPlan(l.id, l.part)}, true
+	return store.Call{Op: store.OpGet, Key: KeyPlan(l.id, l.part)}, true
 }
 
-func (l *LoadPlan) take(r platform.Reply) {
+func (l *LoadPlan) take(r store.Reply) {
 	var part planPart
 	if len(r.KVs) != 1 || json.Unmarshal(r.KVs[0].Value, &part) != nil || part.Parts < 1 {
 		l.Err = fmt.Errorf("read plan %s: part %d is damaged", l.id, l.part)
--- a/internal/configuration/procedure.go
+++ b/internal/configuration/procedure.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"github.com/medlardeck/medlardeck/internal/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 // Procedure is a sequence of calls to the store, one after another. Next gets
@@ -14,7 +14,7 @@
 // false ends the procedure. A call with an empty Op asks to be continued with
 // a zero-status reply after Budget.
 type Procedure interface {
-	Next(r platform.Reply) (call platform.Call, more bool)
+	Next(r store.Reply) (call store.Call, more bool)
 }
 
 // maxTries bounds the attempts of one call of a procedure.
@@ -25,13 +25,13 @@
 var ErrNoPlan = errors.New("no such plan, or it has expired")
 
 // StoreError says that the store did not give a usable answer.
-type StoreError struct{ Status platform.Status }
+type StoreError struct{ Status store.Status }
 
 // Error implements error.
 func (e *StoreError) Error() string { return "store call ended " + string(e.Status) }
 
 // ParseRoot reads the value of KeyRoot.
-func ParseRoot(r platform.Reply) (Root, error) {
+func ParseRoot(r store.Reply) (Root, error) {
 	var root Root
 	if len(r.KVs) != 1 {
 		return root, fmt.Errorf("read root: %d values", len(r.KVs))
@@ -76,23 +76,23 @@
 }
 
 // Next implements Procedure.
-func (f *Fetch) Next(r platform.Reply) (platform.Call, bool) {
+func (f *Fetch) Next(r store.Reply) (store.Call, bool) {
 	switch {
 	case r.Status == "":
-	case r.Status == platform.StatusOK && len(r.KVs) == 1:
+	case r.Status == store.StatusOK && len(r.KVs) == 1:
 		f.tries = 0
 		f.take(r.KVs[0].Value)
-	case r.Status == platform.StatusNotFound && f.stage == fetchDelta:
+	case r.Status == store.StatusNotFound && f.stage == fetchDelta:
 		f.stage = fetchIndex
 	default:
-		if f.tries++; f.tries >= maxTries || r.Status == platform.StatusNotFound {
+		if f.tries++; f.tries >= maxTries || r.Status == store.StatusNotFound {
 			f.Err = fmt.Errorf("read revision %d: %w", f.root.Revision, &StoreError{Status: r.Status})
 		}
 	}
 	if f.Err != nil || f.stage == fetchEnd {
-		return platform.Call{}, false
+		return store.Call{}, false
 	}
-	return platform.Call{Op: platform.OpGet, Key: f.key()}, true
+	return store.Call{Op: store.OpGet, Key: f.key()}, true
 }
 
 func (f *Fetch) key() string {
@@ -156,33 +156,33 @@
 func NewRevision(rev Revision) *History { return &History{limit: 1, next: rev} }
 
 // Next implements Procedure.
-func (h *History) Next(r platform.Reply) (platform.Call, bool) {
+func (h *History) Next(r store.Reply) (store.Call, bool) {
 	switch r.Status {
 	case "":
 		if h.next < 0 {
-			return platform.Call{Op: platform.OpGet, Key: KeyRoot}, true
+			return store.Call{Op: store.OpGet, Key: KeyRoot}, true
 		}
-	case platform.StatusOK:
+	case store.StatusOK:
 		root, err := ParseRoot(r)
 		if h.Err = err; err == nil {
 			h.Roots = append(h.Roots, root)
 			h.next, h.tries = root.Revision-1, 0
 		}
-	case platform.StatusNotFound:
-		return platform.Call{}, false // the first revision, or removed
+	case store.StatusNotFound:
+		return store.Call{}, false // the first revision, or removed
 	default:
 		if h.tries++; h.tries >= maxTries {
 			h.Err = fmt.Errorf("read history: %w", &StoreError{Status: r.Status})
 		}
 	}
 	if h.Err != nil || len(h.Roots) >= h.limit || h.next == 0 {
-		return platform.Call{}, false
+		return store.Call{}, false
 	}
 	if h.next < 0 {
-		return platform.Call{Op: platform.OpGet, Key: KeyRoot}, true
+		return store.Call{Op: store.OpGet, Key: KeyRoot}, true
 	}
-	return platform.Call{Op: platform.OpGet, Key: KeyHistory(h.next)}, true
+	return store.Call{Op: store.OpGet, Key: KeyHistory(h.next)}, true
 }
 
 // wait returns a call that only waits.
-func wait(d time.Duration) platform.Call { return platform.Call{Budget: d} }
+func wait(d time.Duration) store.Call { return store.Call{Budget: d} }
--- a/internal/configuration/prune.go
+++ b/internal/configuration/prune.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"slices"
 
-	"github.com/medlardeck/medlardeck/internal/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 // HistoryKept is the number of revisions that can be listed and returned to.
@@ -47,23 +47,23 @@
 }
 
 // Next implements Procedure.
-func (p *Prune) Next(r platform.Reply) (platform.Call, bool) {
+func (p *Prune) Next(r store.Reply) (store.Call, bool) {
 	if p.rev < 1 || p.left == 0 {
-		return platform.Call{}, false
+		return store.Call{}, false
 	}
 	if r.Status == "" {
 		return p.get(), true
 	}
 	if !p.take(r) || p.left == 0 || p.rev < 1 {
-		return platform.Call{}, false
+		return store.Call{}, false
 	}
 	if p.stage == pruneDelete {
-		return platform.Call{Op: platform.OpDelete, Key: p.deletes[0], Revision: r.KVs[0].Revision}, true
+		return store.Call{Op: store.OpDelete, Key: p.deletes[0], Revision: r.KVs[0].Revision}, true
 	}
 	return p.get(), true
 }
 
-func (p *Prune) get() platform.Call {
+func (p *Prune) get() store.Call {
 	key := ""
 	switch p.stage {
 	case pruneRoot:
@@ -75,17 +75,17 @@
 	case pruneFind, pruneDelete:
 		key = p.deletes[0]
 	}
-	return platform.Call{Op: platform.OpGet, Key: key}
+	return store.Call{Op: store.OpGet, Key: key}
 }
 
 // take handles a reply and reports whether the procedure goes on.
-func (p *Prune) take(r platform.Reply) bool {
+func (p *Prune) take(r store.Reply) bool {
 	switch {
-	case p.stage == pruneDelete && (r.Status == platform.StatusOK || r.Status == platform.StatusNotFound),
-		p.stage == pruneFind && r.Status == platform.StatusNotFound:
+	case p.stage == pruneDelete && (r.Status == store.StatusOK || r.Status == store.StatusNotFound),
+		p.stage == pruneFind && r.Status == store.StatusNotFound:
 		p.deleted()
 		return true
-	case r.Status != platform.StatusOK || len(r.KVs) != 1:
+	case r.Status != store.StatusOK || len(r.KVs) != 1:
 		return false
 	case p.stage == pruneFind:
 		p.stage = pruneDelete
@@ -94,7 +94,7 @@
 	return p.read(r) == nil
 }
 
-func (p *Prune) read(r platform.Reply) error {
+func (p *Prune) read(r store.Reply) error {
 	var err error
 	switch p.stage {
 	case pruneRoot, pruneNextRoot:
--- a/internal/configuration/seed.go
+++ b/internal/configuration/seed.go
@@ -5,11 +5,11 @@
 	"fmt"
 	"time"
 
-	"github.com/medlardeck/medlardeck/internal/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 // Seed makes an intent the first accepted configuration of an empty store.
-func Seed(ctx context.Context, store platform.Store, in Intent, operator string, at time.Time) error {
+func Seed(ctx context.Context, kv store.Store, in Intent, operator string, at time.Time) error {
 	if faults := Validate(&in); len(faults) > 0 {
 		return fmt.Errorf("seed the configuration: %w", faults)
 	}
@@ -22,7 +22,7 @@
 	if err != nil {
 		return fmt.Errorf("seed the configuration: %w", err)
 	}
-	var reply platform.Reply
+	var reply store.Reply
 	for {
 		call, more := confirm.Next(reply)
 		if !more {
@@ -31,7 +31,7 @@
 		if call.Op == "" {
 			return fmt.Errorf("seed the configuration: store answered %s", reply.Status)
 		}
-		reply = store.Do(ctx, call)
+		reply = kv.Do(ctx, call)
 	}
 	if confirm.Verdict != VerdictAccepted {
 		return fmt.Errorf("seed the configuration: %s", confirm.Verdict)
--- a/internal/configuration/snapshot.go
+++ b/internal/configuration/snapshot.go
@@ -12,7 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/medlardeck/medlardeck/internal/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 // Names of segments. Pools have one each, workspaces are spread by a hash of
@@ -104,7 +104,7 @@
 	if err != nil {
 		return fmt.Errorf("encode segment %s: %w", name, err)
 	}
-	if len(raw) > platform.MaxValueBytes {
+	if len(raw) > store.MaxValueBytes {
 		return fmt.Errorf("encode segment %s: %d bytes are more than the store holds in a value", name, len(raw))
 	}
 	out[name] = raw
--- a/internal/configuration/store_test.go
+++ b/internal/configuration/store_test.go
@@ -7,40 +7,40 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/medlardeck/medlardeck/internal/platform"
 	standin "github.com/medlardeck/medlardeck/internal/standin/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 // carry runs a procedure against a store.
-func carry(store platform.Store, p Procedure) {
-	var r platform.Reply
+func carry(kv store.Store, p Procedure) {
+	var r store.Reply
 	for {
 		call, more := p.Next(r)
 		if !more {
 			return
 		}
-		if r = (platform.Reply{}); call.Op != "" {
-			r = store.Do(context.Background(), call)
+		if r = (store.Reply{}); call.Op != "" {
+			r = kv.Do(context.Background(), call)
 		}
 	}
 }
 
-func confirmIn(t *testing.T, store platform.Store, base *Snapshot, to Intent) *Snapshot {
+func confirmIn(t *testing.T, kv store.Store, base *Snapshot, to Intent) *Snapshot {
 	t.Helper()
 	p, err := NewPlan(base, to, func(string) int { return 0 })
 	must.NoError(t, err)
 	c, err := NewConfirm(&p, base, base.Root.Revision, "ana", time.Unix(1, 0))
 	must.NoError(t, err)
-	carry(store, c)
+	carry(kv, c)
 	must.Eq(t, VerdictAccepted, c.Verdict)
 	return c.Result()
 }
 
-func keys(store platform.Store, prefix string) int {
+func keys(kv store.Store, prefix string) int {
 	n := 0
-	call := platform.Call{Op: platform.OpRange, Key: prefix}
+	call := store.Call{Op: store.OpRange, Key: prefix}
 	for {
-		r := store.Do(context.Background(), call)
+		r := kv.Do(context.Background(), call)
 		if n += len(r.KVs); !r.More {
 			return n
 		}
@@ -50,45 +50,45 @@
 
 func TestPruneKeepsWhatTheKeptRevisionsNeed(t *testing.T) {
 	const kept = 5
-	store := standin.New(standin.Options{}).Local("test")
-	snap := confirmIn(t, store, EmptySnapshot(), sampleIntent(30))
+	kv := standin.New(standin.Options{}).Local("test")
+	snap := confirmIn(t, kv, EmptySnapshot(), sampleIntent(30))
 	segments := len(snap.Index)
 	for i := range 20 {
 		in, err := snap.Intent()
 		must.NoError(t, err)
 		in.Workspaces[i%3].TokensPerSecond = float64(i + 1)
-		snap = confirmIn(t, store, snap, in)
-		carry(store, NewPrune(snap.Root.Revision, kept))
+		snap = confirmIn(t, kv, snap, in)
+		carry(kv, NewPrune(snap.Root.Revision, kept))
 	}
-	must.Eq(t, kept, keys(store, prefixIndex))
-	must.Eq(t, segments+kept-1, keys(store, prefixSegment))
+	must.Eq(t, kept, keys(kv, prefixIndex))
+	must.Eq(t, segments+kept-1, keys(kv, prefixSegment))
 	h := NewHistory(100)
-	carry(store, h)
+	carry(kv, h)
 	must.Len(t, kept, h.Roots)
 	for _, root := range h.Roots {
 		f := NewFetch(EmptySnapshot(), root)
-		carry(store, f)
+		carry(kv, f)
 		must.NoError(t, f.Err)
 	}
 }
 
 func TestFetchFallsBackToSegmentsWithoutADelta(t *testing.T) {
-	store := standin.New(standin.Options{}).Local("test")
-	first := confirmIn(t, store, EmptySnapshot(), sampleIntent(30))
+	kv := standin.New(standin.Options{}).Local("test")
+	first := confirmIn(t, kv, EmptySnapshot(), sampleIntent(30))
 	in, err := first.Intent()
 	must.NoError(t, err)
 	in.Workspaces[2].TokensPerSecond = 7
-	second := confirmIn(t, store, first, in)
-	got := store.Do(context.Background(), platform.Call{Op: platform.OpGet, Key: KeyDelta(second.Root.PlanID)})
-	for _, change := range []platform.Call{
-		{Op: platform.OpCAS, Value: []byte(`[{"segment":"base"}]`)}, // does not lead to the digest
-		{Op: platform.OpDelete},
+	second := confirmIn(t, kv, first, in)
+	got := kv.Do(context.Background(), store.Call{Op: store.OpGet, Key: KeyDelta(second.Root.PlanID)})
+	for _, change := range []store.Call{
+		{Op: store.OpCAS, Value: []byte(`[{"segment":"base"}]`)}, // does not lead to the digest
+		{Op: store.OpDelete},
 	} {
 		change.Key, change.Revision = KeyDelta(second.Root.PlanID), got.KVs[0].Revision
-		got = store.Do(context.Background(), change)
-		got.KVs = []platform.KV{{Revision: got.Revision}}
+		got = kv.Do(context.Background(), change)
+		got.KVs = []store.KV{{Revision: got.Revision}}
 		f := NewFetch(first, second.Root)
-		carry(store, f)
+		carry(kv, f)
 		must.NoError(t, f.Err)
 		must.Eq(t, second.Root, f.Snapshot.Root)
 		must.Eq(t, second.segments, f.Snapshot.segments)
@@ -96,29 +96,29 @@
 }
 
 func TestPlanInPartsIsReadBackAtAnotherInstance(t *testing.T) {
-	store := standin.New(standin.Options{}).Local("test")
+	kv := standin.New(standin.Options{}).Local("test")
 	p, err := NewPlan(EmptySnapshot(), sampleIntent(12000), func(string) int { return 0 })
 	must.NoError(t, err)
-	carry(store, NewSavePlan(&p))
-	must.Greater(t, 1, keys(store, prefixPlan))
+	carry(kv, NewSavePlan(&p))
+	must.Greater(t, 1, keys(kv, prefixPlan))
 	l := NewLoadPlan(p.ID)
-	carry(store, l)
+	carry(kv, l)
 	must.NoError(t, l.Err)
 	must.Eq(t, p.ID, l.Plan.hash())
 	missing := NewLoadPlan("feed")
-	carry(store, missing)
+	carry(kv, missing)
 	must.ErrorIs(t, missing.Err, ErrNoPlan)
 }
 
 // raceStore lets another plan win between the segments and the root of the
 // first confirmation.
 type raceStore struct {
-	platform.Store
+	store.Store
 	before func()
 }
 
-func (s *raceStore) Do(ctx context.Context, call platform.Call) platform.Reply {
-	if call.Op == platform.OpCAS && call.Key == KeyRoot && s.before != nil {
+func (s *raceStore) Do(ctx context.Context, call store.Call) store.Reply {
+	if call.Op == store.OpCAS && call.Key == KeyRoot && s.before != nil {
 		before := s.before
 		s.before = nil
 		before()
@@ -127,20 +127,20 @@
 }
 
 func TestLostRaceLeavesNothingInTheStore(t *testing.T) {
-	store := standin.New(standin.Options{}).Local("test")
-	base := confirmIn(t, store, EmptySnapshot(), sampleIntent(5))
+	kv := standin.New(standin.Options{}).Local("test")
+	base := confirmIn(t, kv, EmptySnapshot(), sampleIntent(5))
 	mine, theirs := sampleIntent(5), sampleIntent(5)
 	mine.Workspaces[0].TokensPerSecond, theirs.Workspaces[1].TokensPerSecond = 1, 2
 	p, err := NewPlan(base, mine, func(string) int { return 0 })
 	must.NoError(t, err)
 	c, err := NewConfirm(&p, base, 1, "ana", time.Unix(1, 0))
 	must.NoError(t, err)
-	carry(&raceStore{Store: store, before: func() { confirmIn(t, store, base, theirs) }}, c)
+	carry(&raceStore{Store: kv, before: func() { confirmIn(t, kv, base, theirs) }}, c)
 	must.Eq(t, VerdictNotAccepted, c.Verdict)
-	must.Eq(t, 0, keys(store, prefixSegment+p.ID))
-	must.Eq(t, 0, keys(store, KeyIndex(p.ID))+keys(store, KeyDelta(p.ID)))
+	must.Eq(t, 0, keys(kv, prefixSegment+p.ID))
+	must.Eq(t, 0, keys(kv, KeyIndex(p.ID))+keys(kv, KeyDelta(p.ID)))
 	h := NewHistory(5)
-	carry(store, h)
+	carry(kv, h)
 	must.Len(t, 2, h.Roots)
 }
 
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -18,11 +18,11 @@
 	"github.com/medlardeck/medlardeck/internal/configuration"
 	"github.com/medlardeck/medlardeck/internal/instance"
 	"github.com/medlardeck/medlardeck/internal/peer"
-	"github.com/medlardeck/medlardeck/internal/platform"
 	"github.com/medlardeck/medlardeck/internal/standin/engine"
 	"github.com/medlardeck/medlardeck/internal/standin/network"
 	platformstandin "github.com/medlardeck/medlardeck/internal/standin/platform"
 	"github.com/medlardeck/medlardeck/internal/standin/service"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 // Sizes of the embedded deployment.
@@ -108,7 +108,7 @@
 	opts      Options
 	entries   []entryAddress
 	authority *peer.Authority
-	instances []platform.Instance
+	instances []store.Instance
 	servers   []*http.Server
 }
 
--- a/internal/dev/entry.go
+++ b/internal/dev/entry.go
@@ -11,7 +11,7 @@
 	"github.com/medlardeck/medlardeck/internal/instance"
 	"github.com/medlardeck/medlardeck/internal/membership"
 	"github.com/medlardeck/medlardeck/internal/operatorapi"
-	"github.com/medlardeck/medlardeck/internal/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 // entryAddress is where an entry instance answers; it keeps its addresses when
@@ -35,7 +35,7 @@
 	}
 	d.entries = append(d.entries, at)
 	d.Network.Place(at.peers, EntryDomain(i))
-	d.instances = append(d.instances, platform.Instance{
+	d.instances = append(d.instances, store.Instance{
 		Name: entryName(i), Role: membership.EntryRole, FailureDomain: EntryDomain(i), Address: at.peers,
 	})
 	d.Platform.SetInstances(slices.Clone(d.instances))
--- a/internal/entry/booking.go
+++ b/internal/entry/booking.go
@@ -8,9 +8,9 @@
 
 	"github.com/medlardeck/medlardeck/internal/booking"
 	"github.com/medlardeck/medlardeck/internal/membership"
-	"github.com/medlardeck/medlardeck/internal/platform"
 	"github.com/medlardeck/medlardeck/internal/request"
 	"github.com/medlardeck/medlardeck/internal/result"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 const (
@@ -184,7 +184,7 @@
 func (h claimHost) Jitter(d time.Duration) time.Duration { return h.e.jitter(d) }
 
 // Store implements booking.Host.
-func (h claimHost) Store(call platform.Call, fn func(platform.Reply)) { h.e.store(call, fn) }
+func (h claimHost) Store(call store.Call, fn func(store.Reply)) { h.e.store(call, fn) }
 
 // Owner implements booking.Host: the live instance with the highest hash, so
 // that few shards move when an instance comes or goes.
--- a/internal/entry/booking_test.go
+++ b/internal/entry/booking_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/medlardeck/medlardeck/internal/booking"
 	"github.com/medlardeck/medlardeck/internal/configuration"
-	"github.com/medlardeck/medlardeck/internal/platform"
 	"github.com/medlardeck/medlardeck/internal/result"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 func TestBookingRunsOnceAndResendsGetItsAnswer(t *testing.T) {
@@ -36,12 +36,12 @@
 	e := newTestEntry()
 	ev := Arrive{Request: 1, Workspace: "museum", Route: "bookings", Method: "POST", Identity: "cut-1"}
 	get := effectsOf[StoreCall](e.Step(0, ev))[0]
-	must.Eq(t, platform.OpGet, get.Call.Op)
-	effs := e.Step(0, StoreReply{ID: get.ID, Reply: platform.Reply{Status: platform.StatusNotFound}})
+	must.Eq(t, store.OpGet, get.Call.Op)
+	effs := e.Step(0, StoreReply{ID: get.ID, Reply: store.Reply{Status: store.StatusNotFound}})
 	must.Len(t, 0, effectsOf[Send](effs))
 	cas := effectsOf[StoreCall](effs)[0]
-	must.Eq(t, platform.OpCAS, cas.Call.Op)
-	effs = e.Step(0, StoreReply{ID: cas.ID, Reply: platform.Reply{Status: platform.StatusOK, Revision: 1}})
+	must.Eq(t, store.OpCAS, cas.Call.Op)
+	effs = e.Step(0, StoreReply{ID: cas.ID, Reply: store.Reply{Status: store.StatusOK, Revision: 1}})
 	must.Len(t, 1, effectsOf[Send](effs))
 }
 
@@ -187,7 +187,7 @@
 		w.book(0, fmt.Sprintf("cut-%d", i))
 		w.run(150 * time.Millisecond)
 	}
-	segments := w.store.Calls()["world"][platform.OpCAS]
+	segments := w.store.Calls()["world"][store.OpCAS]
 	must.Positive(t, segments)
 	must.Positive(t, w.nodes[0].entry.ClaimFacts().Records)
 	for i := range 200 {
--- a/internal/entry/cluster_test.go
+++ b/internal/entry/cluster_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/medlardeck/medlardeck/internal/configuration"
 	"github.com/medlardeck/medlardeck/internal/membership"
-	"github.com/medlardeck/medlardeck/internal/platform"
 	standin "github.com/medlardeck/medlardeck/internal/standin/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 // cluster joins several entries by a virtual clock; messages take a
@@ -113,17 +113,17 @@
 // milliseconds until its budget ends.
 func (c *cluster) call(name string, eff StoreCall, start time.Duration) {
 	call, delay, caller := eff.Call, time.Millisecond, c.entries[name]
-	if call.Op == platform.OpWatch {
+	if call.Op == store.OpWatch {
 		call.Budget = 1
 	}
 	reply := c.store.Local(name).Do(context.Background(), call)
-	if c.deaf && call.Op == platform.OpWatch {
+	if c.deaf && call.Op == store.OpWatch {
 		reply.KVs = nil
 	}
-	if reply.Status == platform.StatusUnknown {
-		delay = platform.DefaultDeadline
+	if reply.Status == store.StatusUnknown {
+		delay = store.DefaultDeadline
 	}
-	if call.Op == platform.OpWatch && reply.Status == platform.StatusOK && len(reply.KVs) == 0 && c.now-start < eff.Call.Budget {
+	if call.Op == store.OpWatch && reply.Status == store.StatusOK && len(reply.KVs) == 0 && c.now-start < eff.Call.Budget {
 		c.queue = append(c.queue, delivery{at: c.now + watchPoll, of: caller, to: name, fn: func() { c.call(name, eff, start) }})
 		return
 	}
@@ -140,7 +140,7 @@
 	must.NoError(t, err)
 	confirm, err := configuration.NewConfirm(&plan, configuration.EmptySnapshot(), 0, "test", time.Unix(0, 0))
 	must.NoError(t, err)
-	var r platform.Reply
+	var r store.Reply
 	for {
 		call, more := confirm.Next(r)
 		if !more {
@@ -154,10 +154,10 @@
 
 // list shows the present entries in the platform's list.
 func (c *cluster) list() {
-	var list []platform.Instance
+	var list []store.Instance
 	for _, name := range c.names {
 		if e := c.entries[name]; e != nil {
-			list = append(list, platform.Instance{Name: name, Role: membership.EntryRole, FailureDomain: e.opts.FailureDomain, Address: e.opts.Address})
+			list = append(list, store.Instance{Name: name, Role: membership.EntryRole, FailureDomain: e.opts.FailureDomain, Address: e.opts.Address})
 		}
 	}
 	c.store.SetInstances(list)
@@ -271,7 +271,7 @@
 
 func (c *cluster) revisionInStore(t *testing.T) configuration.Revision {
 	t.Helper()
-	root, err := configuration.ParseRoot(c.store.Local("test").Do(context.Background(), platform.Call{Op: platform.OpGet, Key: configuration.KeyRoot}))
+	root, err := configuration.ParseRoot(c.store.Local("test").Do(context.Background(), store.Call{Op: store.OpGet, Key: configuration.KeyRoot}))
 	if err != nil {
 		return 1 // the fault hides it
 	}
--- a/internal/entry/confirm_history_test.go
+++ b/internal/entry/confirm_history_test.go
@@ -13,8 +13,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/medlardeck/medlardeck/internal/configuration"
-	"github.com/medlardeck/medlardeck/internal/platform"
 	standin "github.com/medlardeck/medlardeck/internal/standin/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 // confirmInput and confirmState are the input and the state of the sequential
@@ -172,7 +172,7 @@
 	m.c.store.SetFaults(standin.Faults{})
 	m.c.cut = func(string, string) bool { return false }
 	m.run(45 * time.Second)
-	root, err := configuration.ParseRoot(m.c.store.Local("test").Do(context.Background(), platform.Call{Op: platform.OpGet, Key: configuration.KeyRoot}))
+	root, err := configuration.ParseRoot(m.c.store.Local("test").Do(context.Background(), store.Call{Op: store.OpGet, Key: configuration.KeyRoot}))
 	must.NoError(t, err)
 	must.Eq(t, map[configuration.Revision]int{root.Revision: len(m.c.entries)}, m.c.revisions())
 	var ops []porcupine.Operation
--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -3,8 +3,8 @@
 import (
 	"github.com/medlardeck/medlardeck/internal/booking"
 	"github.com/medlardeck/medlardeck/internal/configuration"
-	"github.com/medlardeck/medlardeck/internal/platform"
 	"github.com/medlardeck/medlardeck/internal/result"
+	"github.com/medlardeck/medlardeck/internal/store"
 	"github.com/medlardeck/medlardeck/internal/target"
 )
 
@@ -60,7 +60,7 @@
 
 func statusNames(prefix string) []string {
 	var names []string
-	for _, s := range platform.Statuses() {
+	for _, s := range store.Statuses() {
 		names = append(names, prefix+string(s))
 	}
 	return names
@@ -68,7 +68,7 @@
 
 func storeCallReasons() []string {
 	var names []string
-	for _, op := range platform.Ops() {
+	for _, op := range store.Ops() {
 		names = append(names, statusNames(string(op)+"/")...)
 	}
 	return names
--- a/internal/entry/effect.go
+++ b/internal/entry/effect.go
@@ -4,9 +4,9 @@
 	"time"
 
 	"github.com/medlardeck/medlardeck/internal/configuration"
-	"github.com/medlardeck/medlardeck/internal/platform"
 	"github.com/medlardeck/medlardeck/internal/request"
 	"github.com/medlardeck/medlardeck/internal/result"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 // Effect is one output of an entry instance: something for the rim to do. The
@@ -66,8 +66,8 @@
 
 // StoreCall tells the rim to call the platform's store; StoreReply has its end.
 type StoreCall struct {
-	ID   uint64        `json:"id"`
-	Call platform.Call `json:"call"`
+	ID   uint64     `json:"id"`
+	Call store.Call `json:"call"`
 }
 
 // PeerSend tells the rim to send a message to another entry instance.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -7,8 +7,8 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/medlardeck/medlardeck/internal/configuration"
-	"github.com/medlardeck/medlardeck/internal/platform"
 	"github.com/medlardeck/medlardeck/internal/result"
+	"github.com/medlardeck/medlardeck/internal/store"
 	"github.com/medlardeck/medlardeck/internal/target"
 )
 
@@ -84,7 +84,7 @@
 func TestStoreReplyReachesItsCallerOnce(t *testing.T) {
 	e := newTestEntry()
 	got := 0
-	e.store(platform.Call{Op: platform.OpGet, Key: "k"}, func(platform.Reply) { got++ })
+	e.store(store.Call{Op: store.OpGet, Key: "k"}, func(store.Reply) { got++ })
 	e.Step(0, StoreReply{ID: 1})
 	e.Step(0, StoreReply{ID: 1})
 	must.Eq(t, 1, got)
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -5,8 +5,8 @@
 
 	"github.com/medlardeck/medlardeck/internal/booking"
 	"github.com/medlardeck/medlardeck/internal/configuration"
-	"github.com/medlardeck/medlardeck/internal/platform"
 	"github.com/medlardeck/medlardeck/internal/request"
+	"github.com/medlardeck/medlardeck/internal/store"
 	"github.com/medlardeck/medlardeck/internal/target"
 )
 
@@ -115,8 +115,8 @@
 
 // StoreReply is the end of a StoreCall.
 type StoreReply struct {
-	ID    uint64         `json:"id"`
-	Reply platform.Reply `json:"reply"`
+	ID    uint64      `json:"id"`
+	Reply store.Reply `json:"reply"`
 }
 
 // PeerMessage is a message from another entry instance.
--- a/internal/entry/leaving.go
+++ b/internal/entry/leaving.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/medlardeck/medlardeck/internal/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 	"github.com/medlardeck/medlardeck/internal/target"
 )
 
@@ -16,7 +16,7 @@
 // listedTargets takes the targets of the platform's list. A gateway passes the
 // leaving ones on, since it alone reads the list again and again; while there
 // are none it says so only once.
-func (e *Entry) listedTargets(list []platform.Instance) {
+func (e *Entry) listedTargets(list []store.Instance) {
 	leaving := make(map[string]bool)
 	for _, in := range list {
 		if in.Leaving {
--- a/internal/entry/leaving_test.go
+++ b/internal/entry/leaving_test.go
@@ -7,7 +7,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/medlardeck/medlardeck/internal/membership"
-	"github.com/medlardeck/medlardeck/internal/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 	"github.com/medlardeck/medlardeck/internal/target"
 )
 
@@ -20,9 +20,9 @@
 		leave  func(c *cluster)
 	}{
 		{"by the platform's list", listInterval + firstListSpread, func(c *cluster) {
-			list := []platform.Instance{{Name: "e0", Role: "engine", Address: "a:0", Leaving: true}}
+			list := []store.Instance{{Name: "e0", Role: "engine", Address: "a:0", Leaving: true}}
 			for _, name := range c.names {
-				list = append(list, platform.Instance{Name: name, Role: membership.EntryRole, FailureDomain: "domain-a", Address: "addr-" + name})
+				list = append(list, store.Instance{Name: name, Role: membership.EntryRole, FailureDomain: "domain-a", Address: "addr-" + name})
 			}
 			c.store.SetInstances(list)
 		}},
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -7,7 +7,7 @@
 	"github.com/medlardeck/medlardeck/internal/configuration"
 	"github.com/medlardeck/medlardeck/internal/lease"
 	"github.com/medlardeck/medlardeck/internal/order"
-	"github.com/medlardeck/medlardeck/internal/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 	"github.com/medlardeck/medlardeck/internal/target"
 )
 
@@ -119,7 +119,7 @@
 	if !ok {
 		return
 	}
-	e.store(call, func(r platform.Reply) {
+	e.store(call, func(r store.Reply) {
 		e.orders.holder.Replied(e.now, r)
 		e.driveLease()
 	})
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -6,7 +6,7 @@
 
 	"github.com/medlardeck/medlardeck/internal/configuration"
 	"github.com/medlardeck/medlardeck/internal/membership"
-	"github.com/medlardeck/medlardeck/internal/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 // Times and sizes of what an entry instance does with its peers.
@@ -129,9 +129,9 @@
 	if !first && !e.members.IsGateway() {
 		return
 	}
-	e.store(platform.Call{Op: platform.OpInstances}, func(r platform.Reply) {
+	e.store(store.Call{Op: store.OpInstances}, func(r store.Reply) {
 		e.heardStore(r)
-		if r.Status == platform.StatusOK {
+		if r.Status == store.StatusOK {
 			e.listed(r.Instances)
 		}
 	})
@@ -139,10 +139,10 @@
 
 // listed merges the list. An instance that finds itself in it knows enough of
 // the others to tell whether it is a gateway.
-func (e *Entry) listed(list []platform.Instance) {
+func (e *Entry) listed(list []store.Instance) {
 	e.members.Listed(e.now, list)
 	e.listedTargets(list)
-	if slices.ContainsFunc(list, func(in platform.Instance) bool { return in.Name == e.opts.Name }) {
+	if slices.ContainsFunc(list, func(in store.Instance) bool { return in.Name == e.opts.Name }) {
 		e.spread.mayRead = true
 		e.readRoot()
 	}
--- a/internal/entry/spread.go
+++ b/internal/entry/spread.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/medlardeck/medlardeck/internal/configuration"
-	"github.com/medlardeck/medlardeck/internal/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 // Times and sizes of the spread of configurations.
@@ -79,12 +79,12 @@
 		return
 	}
 	e.spread.reading = true
-	e.store(platform.Call{Op: platform.OpGet, Key: configuration.KeyRoot}, func(r platform.Reply) {
+	e.store(store.Call{Op: store.OpGet, Key: configuration.KeyRoot}, func(r store.Reply) {
 		e.heardStore(r)
 		switch r.Status {
-		case platform.StatusOK:
+		case store.StatusOK:
 			e.sawRoot(r)
-		case platform.StatusNotFound:
+		case store.StatusNotFound:
 			e.judgeRoot(configuration.Root{})
 			e.watch(r.Revision)
 		default:
@@ -93,7 +93,7 @@
 	})
 }
 
-func (e *Entry) sawRoot(r platform.Reply) {
+func (e *Entry) sawRoot(r store.Reply) {
 	root, err := configuration.ParseRoot(r)
 	if err != nil {
 		e.emit(Log{Event: "configuration-unreadable", Pairs: []string{"error", err.Error()}})
@@ -111,10 +111,10 @@
 }
 
 func (e *Entry) watch(after int64) {
-	call := platform.Call{Op: platform.OpWatch, Key: configuration.KeyRoot, Revision: after, Budget: watchTime}
-	e.store(call, func(r platform.Reply) {
+	call := store.Call{Op: store.OpWatch, Key: configuration.KeyRoot, Revision: after, Budget: watchTime}
+	e.store(call, func(r store.Reply) {
 		e.heardStore(r)
-		if r.Status != platform.StatusOK {
+		if r.Status != store.StatusOK {
 			e.readLater()
 			return
 		}
@@ -131,9 +131,9 @@
 	})
 }
 
-func (e *Entry) heardStore(r platform.Reply) {
+func (e *Entry) heardStore(r store.Reply) {
 	switch r.Status {
-	case platform.StatusOK, platform.StatusNotFound, platform.StatusConflict:
+	case store.StatusOK, store.StatusNotFound, store.StatusConflict:
 		e.spread.storeOK, e.spread.answered = true, e.now
 	default:
 		e.spread.storeOK = false
@@ -184,17 +184,17 @@
 }
 
 // run carries a procedure through the store.
-func (e *Entry) run(p configuration.Procedure, done func()) { e.runOn(p, platform.Reply{}, done) }
+func (e *Entry) run(p configuration.Procedure, done func()) { e.runOn(p, store.Reply{}, done) }
 
-func (e *Entry) runOn(p configuration.Procedure, r platform.Reply, done func()) {
+func (e *Entry) runOn(p configuration.Procedure, r store.Reply, done func()) {
 	call, more := p.Next(r)
 	switch {
 	case !more:
 		done()
 	case call.Op == "":
-		e.after(call.Budget, func() { e.runOn(p, platform.Reply{}, done) })
+		e.after(call.Budget, func() { e.runOn(p, store.Reply{}, done) })
 	default:
-		e.store(call, func(r platform.Reply) {
+		e.store(call, func(r store.Reply) {
 			e.heardStore(r)
 			e.runOn(p, r, done)
 		})
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -4,7 +4,7 @@
 	"strconv"
 
 	"github.com/medlardeck/medlardeck/internal/configuration"
-	"github.com/medlardeck/medlardeck/internal/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 	"github.com/medlardeck/medlardeck/internal/target"
 )
 
@@ -84,7 +84,7 @@
 }
 
 // store calls the platform's store and hands the reply to fn.
-func (e *Entry) store(call platform.Call, fn func(platform.Reply)) {
+func (e *Entry) store(call store.Call, fn func(store.Reply)) {
 	e.nextCall++
 	id := e.nextCall
 	e.storeCalls[id] = func(r StoreReply) { fn(r.Reply) }
--- a/internal/entry/world_test.go
+++ b/internal/entry/world_test.go
@@ -12,10 +12,10 @@
 
 	"github.com/medlardeck/medlardeck/internal/booking"
 	"github.com/medlardeck/medlardeck/internal/configuration"
-	"github.com/medlardeck/medlardeck/internal/platform"
 	"github.com/medlardeck/medlardeck/internal/request"
 	"github.com/medlardeck/medlardeck/internal/result"
 	platformstandin "github.com/medlardeck/medlardeck/internal/standin/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 // world runs several entries against one store and one booking service on a
@@ -43,7 +43,7 @@
 	calls   int
 
 	trace     []traceLine
-	storeCall map[storeCallID]platform.Call
+	storeCall map[storeCallID]store.Call
 	attempts  map[attemptID]RequestID
 	sends     map[arrivalID]int
 }
@@ -93,7 +93,7 @@
 func newWorld(t must.T, nodes int, seed uint64, peers bool) *world {
 	w := &world{
 		t: t, rng: rand.New(rand.NewPCG(seed, 7)), serviceTime: 50 * time.Millisecond,
-		storeCall: map[storeCallID]platform.Call{}, attempts: map[attemptID]RequestID{}, sends: map[arrivalID]int{},
+		storeCall: map[storeCallID]store.Call{}, attempts: map[attemptID]RequestID{}, sends: map[arrivalID]int{},
 		runs: map[string]int{}, arrived: map[arrivalID]string{}, ran: map[arrivalID]bool{}, ends: map[arrivalID]Finish{},
 	}
 	w.store = platformstandin.New(platformstandin.Options{Now: func() time.Time { return time.Unix(0, 0).Add(w.now) }})
@@ -167,33 +167,33 @@
 func (w *world) callStore(i, inc int, eff StoreCall) {
 	w.calls++
 	w.storeCall[storeCallID{i, inc, eff.ID}] = eff.Call
-	reply := func(d time.Duration, r platform.Reply) {
+	reply := func(d time.Duration, r store.Reply) {
 		w.after(d, func() { w.feed(i, inc, StoreReply{ID: eff.ID, Reply: r}) })
 	}
 	if w.outage {
-		reply(10*time.Millisecond, platform.Reply{Status: platform.StatusUnknown})
+		reply(10*time.Millisecond, store.Reply{Status: store.StatusUnknown})
 		return
 	}
-	if eff.Call.Op == platform.OpWatch { // answered at the end of its wait
+	if eff.Call.Op == store.OpWatch { // answered at the end of its wait
 		call := eff.Call
 		call.Budget = 0
 		w.after(eff.Call.Budget, func() { reply(w.delay(), w.store.Local("world").Do(context.Background(), call)) })
 		return
 	}
-	apply := func() platform.Reply { return w.store.Local("world").Do(context.Background(), eff.Call) }
-	write := eff.Call.Op == platform.OpCAS
+	apply := func() store.Reply { return w.store.Local("world").Do(context.Background(), eff.Call) }
+	write := eff.Call.Op == store.OpCAS
 	lost := write && w.rng.Float64() < w.lostAnswers
 	late := lost && w.rng.Float64() < w.lateWrites
 	d := w.delay()
 	if late {
 		w.after(d+time.Duration(w.rng.Int64N(2e9)), func() { apply() })
-		reply(d, platform.Reply{Status: platform.StatusUnknown})
+		reply(d, store.Reply{Status: store.StatusUnknown})
 		return
 	}
 	w.after(d, func() {
 		r := apply()
 		if lost {
-			r = platform.Reply{Status: platform.StatusUnknown}
+			r = store.Reply{Status: store.StatusUnknown}
 		}
 		reply(w.delay(), r)
 	})
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -21,7 +21,7 @@
 	"github.com/medlardeck/medlardeck/internal/node"
 	"github.com/medlardeck/medlardeck/internal/operatorapi"
 	"github.com/medlardeck/medlardeck/internal/peer"
-	"github.com/medlardeck/medlardeck/internal/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 	"github.com/medlardeck/medlardeck/internal/telemetry"
 )
 
@@ -61,7 +61,7 @@
 	Node *node.Node
 
 	client    *engineclient.Client
-	store     *platform.HTTP
+	store     *store.HTTP
 	peers     *peer.Client
 	peerLink  *peer.Server
 	callers   *http.Server
@@ -84,7 +84,7 @@
 	}
 	i := &Instance{
 		client: engineclient.NewVia(opts.Dial, opts.DialTimeout),
-		store:  platform.NewHTTPVia(opts.Dial, opts.PlatformURL, opts.Entry.Name),
+		store:  store.NewHTTPVia(opts.Dial, opts.PlatformURL, opts.Entry.Name),
 		failed: make(chan error, 2), stopLag: opts.Entry.StopLag,
 	}
 	var clientTLS, serverTLS *tls.Config
@@ -95,7 +95,7 @@
 	i.Node = node.New(node.Options{
 		Entry: opts.Entry, Peers: i.peers, Client: i.client, Log: opts.Log, Counter: metrics, Histograms: metrics, Speed: opts.Speed,
 		OrderToken: opts.OrderToken,
-		Store:      platform.NewClient(i.store, platform.ClientOptions{Counter: metrics, Seed: opts.Entry.Seed}),
+		Store:      store.NewClient(i.store, store.ClientOptions{Counter: metrics, Seed: opts.Entry.Seed}),
 	})
 	opts.HTTP.Counter = metrics
 	i.callers = &http.Server{
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -14,7 +14,7 @@
 	"fmt"
 	"time"
 
-	"github.com/medlardeck/medlardeck/internal/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 // Defaults of Options.
@@ -115,32 +115,32 @@
 }
 
 // Next returns the call to make at now, if there is one.
-func (h *Holder) Next(now time.Duration) (platform.Call, bool) {
+func (h *Holder) Next(now time.Duration) (store.Call, bool) {
 	if h.phase == holding && now >= h.valid {
 		h.lost(now)
 	}
 	if h.busy || now < h.next {
-		return platform.Call{}, false
+		return store.Call{}, false
 	}
 	h.busy, h.sent = true, now
 	switch h.phase {
 	case idle, reading:
 		h.phase = reading
-		return platform.Call{Op: platform.OpRange, Key: h.opts.Key + "/"}, true
+		return store.Call{Op: store.OpRange, Key: h.opts.Key + "/"}, true
 	case granting:
-		return platform.Call{Op: platform.OpLeaseGrant, TTL: h.opts.TTL}, true
+		return store.Call{Op: store.OpLeaseGrant, TTL: h.opts.TTL}, true
 	case marking:
-		return platform.Call{Op: platform.OpCAS, Key: h.markerKey(), Value: []byte(h.opts.Name), Lease: h.lease}, true
+		return store.Call{Op: store.OpCAS, Key: h.markerKey(), Value: []byte(h.opts.Name), Lease: h.lease}, true
 	case recording:
 		value, _ := json.Marshal(h.wanted())
-		return platform.Call{Op: platform.OpCAS, Key: h.recordKey(), Value: value, Revision: h.rev}, true
+		return store.Call{Op: store.OpCAS, Key: h.recordKey(), Value: value, Revision: h.rev}, true
 	case checking:
-		return platform.Call{Op: platform.OpGet, Key: h.recordKey()}, true
+		return store.Call{Op: store.OpGet, Key: h.recordKey()}, true
 	case releasing:
-		return platform.Call{Op: platform.OpLeaseRevoke, Lease: h.lease}, true
+		return store.Call{Op: store.OpLeaseRevoke, Lease: h.lease}, true
 	case holding:
 	}
-	return platform.Call{Op: platform.OpLeaseRenew, Lease: h.lease}, true
+	return store.Call{Op: store.OpLeaseRenew, Lease: h.lease}, true
 }
 
 // wanted is the record that this acquisition writes.
@@ -149,19 +149,19 @@
 }
 
 // Replied takes the reply to the last call.
-func (h *Holder) Replied(now time.Duration, r platform.Reply) {
+func (h *Holder) Replied(now time.Duration, r store.Reply) {
 	h.busy = false
 	switch h.phase {
 	case reading:
 		h.read(now, r)
 	case granting:
-		if r.Status != platform.StatusOK {
+		if r.Status != store.StatusOK {
 			h.lost(now)
 			return
 		}
 		h.lease, h.valid, h.phase = r.Lease, h.sent+h.opts.TTL-h.opts.Margin, marking
 	case marking:
-		if r.Status != platform.StatusOK {
+		if r.Status != store.StatusOK {
 			h.lost(now) // an unknown write lapses with its lease
 			return
 		}
@@ -179,8 +179,8 @@
 	}
 }
 
-func (h *Holder) read(now time.Duration, r platform.Reply) {
-	if r.Status != platform.StatusOK {
+func (h *Holder) read(now time.Duration, r store.Reply) {
+	if r.Status != store.StatusOK {
 		h.lost(now)
 		return
 	}
@@ -201,22 +201,22 @@
 	h.phase = granting
 }
 
-func (h *Holder) recorded(now time.Duration, r platform.Reply) {
+func (h *Holder) recorded(now time.Duration, r store.Reply) {
 	switch r.Status {
-	case platform.StatusOK:
+	case store.StatusOK:
 		h.rev = r.Revision
 		h.hold(now)
-	case platform.StatusUnknown:
+	case store.StatusUnknown:
 		h.phase = checking
 	default:
 		h.lost(now)
 	}
 }
 
-func (h *Holder) checked(now time.Duration, r platform.Reply) {
+func (h *Holder) checked(now time.Duration, r store.Reply) {
 	var rec Record
 	switch {
-	case r.Status == platform.StatusUnknown || r.Status == platform.StatusUnsent || r.Status == platform.StatusRefused:
+	case r.Status == store.StatusUnknown || r.Status == store.StatusUnsent || r.Status == store.StatusRefused:
 		h.next = now + h.opts.TTL/renewalsPerTTL // ask again while there is time
 		if h.next >= h.valid {
 			h.lost(now)
@@ -236,14 +236,14 @@
 	h.phase, h.next = holding, now+h.opts.TTL/renewalsPerTTL
 }
 
-func (h *Holder) renewed(now time.Duration, r platform.Reply) {
+func (h *Holder) renewed(now time.Duration, r store.Reply) {
 	h.next = now + h.opts.TTL/renewalsPerTTL
 	switch r.Status {
-	case platform.StatusOK:
+	case store.StatusOK:
 		h.valid = h.sent + h.opts.TTL - h.opts.Margin
-	case platform.StatusNotFound:
+	case store.StatusNotFound:
 		h.lost(now)
-	case platform.StatusConflict, platform.StatusRefused, platform.StatusUnsent, platform.StatusUnknown:
+	case store.StatusConflict, store.StatusRefused, store.StatusUnsent, store.StatusUnknown:
 	}
 }
 
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -9,7 +9,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"github.com/medlardeck/medlardeck/internal/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 // init fixes the seed of random tests; the flag on the command line wins.
@@ -19,24 +19,24 @@
 	}
 }
 
-// store is a key-value store on the virtual clock of a test.
-type store struct {
+// fakeStore is a key-value store on the virtual clock of a test.
+type fakeStore struct {
 	now    time.Duration
 	rev    int64
-	kvs    map[string]platform.KV
+	kvs    map[string]store.KV
 	leases map[int64]time.Duration // end of each
 	owner  map[string]int64
 	ttls   map[int64]time.Duration
 }
 
-func newStore() *store {
-	return &store{
-		kvs: map[string]platform.KV{}, leases: map[int64]time.Duration{},
+func newStore() *fakeStore {
+	return &fakeStore{
+		kvs: map[string]store.KV{}, leases: map[int64]time.Duration{},
 		owner: map[string]int64{}, ttls: map[int64]time.Duration{},
 	}
 }
 
-func (s *store) advance(d time.Duration) {
+func (s *fakeStore) advance(d time.Duration) {
 	s.now += d
 	for id, end := range s.leases {
 		if end <= s.now {
@@ -45,7 +45,7 @@
 	}
 }
 
-func (s *store) drop(id int64) {
+func (s *fakeStore) drop(id int64) {
 	delete(s.leases, id)
 	for key, owner := range s.owner {
 		if owner == id {
@@ -56,46 +56,46 @@
 	}
 }
 
-func (s *store) do(c platform.Call) platform.Reply {
+func (s *fakeStore) do(c store.Call) store.Reply {
 	switch c.Op {
-	case platform.OpRange:
-		r := platform.Reply{Status: platform.StatusOK}
+	case store.OpRange:
+		r := store.Reply{Status: store.StatusOK}
 		for _, kv := range s.kvs {
 			r.KVs = append(r.KVs, kv)
 		}
 		return r
-	case platform.OpGet:
+	case store.OpGet:
 		if kv, ok := s.kvs[c.Key]; ok {
-			return platform.Reply{Status: platform.StatusOK, KVs: []platform.KV{kv}}
+			return store.Reply{Status: store.StatusOK, KVs: []store.KV{kv}}
 		}
-		return platform.Reply{Status: platform.StatusNotFound}
-	case platform.OpLeaseGrant:
+		return store.Reply{Status: store.StatusNotFound}
+	case store.OpLeaseGrant:
 		s.rev++
 		s.leases[s.rev], s.ttls[s.rev] = s.now+c.TTL, c.TTL
-		return platform.Reply{Status: platform.StatusOK, Lease: s.rev, TTL: c.TTL}
-	case platform.OpLeaseRenew:
+		return store.Reply{Status: store.StatusOK, Lease: s.rev, TTL: c.TTL}
+	case store.OpLeaseRenew:
 		if _, ok := s.leases[c.Lease]; !ok {
-			return platform.Reply{Status: platform.StatusNotFound}
+			return store.Reply{Status: store.StatusNotFound}
 		}
 		s.leases[c.Lease] = s.now + s.ttls[c.Lease]
-	case platform.OpLeaseRevoke:
+	case store.OpLeaseRevoke:
 		s.drop(c.Lease)
-	case platform.OpCAS:
+	case store.OpCAS:
 		if s.kvs[c.Key].Revision != c.Revision {
-			return platform.Reply{Status: platform.StatusConflict}
+			return store.Reply{Status: store.StatusConflict}
 		}
 		if _, ok := s.leases[c.Lease]; c.Lease != 0 && !ok {
-			return platform.Reply{Status: platform.StatusNotFound}
+			return store.Reply{Status: store.StatusNotFound}
 		}
 		s.rev++
-		s.kvs[c.Key] = platform.KV{Key: c.Key, Value: c.Value, Revision: s.rev}
+		s.kvs[c.Key] = store.KV{Key: c.Key, Value: c.Value, Revision: s.rev}
 		if c.Lease != 0 {
 			s.owner[c.Key] = c.Lease
 		}
-		return platform.Reply{Status: platform.StatusOK, Revision: s.rev}
-	case platform.OpDelete, platform.OpWatch, platform.OpInstances:
+		return store.Reply{Status: store.StatusOK, Revision: s.rev}
+	case store.OpDelete, store.OpWatch, store.OpInstances:
 	}
-	return platform.Reply{Status: platform.StatusOK}
+	return store.Reply{Status: store.StatusOK}
 }
 
 // Holders are paused, calls are lost before or after they took effect, replies
@@ -106,7 +106,7 @@
 		type inflight struct {
 			to    int
 			at    time.Duration
-			reply platform.Reply
+			reply store.Reply
 		}
 		holders := make([]*Holder, 3)
 		paused := make([]time.Duration, len(holders))
@@ -134,7 +134,7 @@
 			replies = kept
 			if paused[i] <= s.now {
 				if c, ok := h.Next(s.now); ok {
-					reply := platform.Reply{Status: platform.StatusUnknown}
+					reply := store.Reply{Status: store.StatusUnknown}
 					if fate := rapid.IntRange(0, 9).Draw(t, "fate"); fate > 0 {
 						answer := s.do(c)
 						if fate > 1 {
@@ -168,7 +168,7 @@
 }
 
 // drive lets a holder make its calls at one time until it has none.
-func drive(s *store, h *Holder) {
+func drive(s *fakeStore, h *Holder) {
 	for {
 		c, ok := h.Next(s.now)
 		if !ok {
--- a/internal/load/bookings.go
+++ b/internal/load/bookings.go
@@ -14,11 +14,11 @@
 	"github.com/go-logr/logr"
 
 	"github.com/medlardeck/medlardeck/internal/dev"
-	"github.com/medlardeck/medlardeck/internal/platform"
 	"github.com/medlardeck/medlardeck/internal/result"
 	"github.com/medlardeck/medlardeck/internal/standin/engine"
 	platformstandin "github.com/medlardeck/medlardeck/internal/standin/platform"
 	"github.com/medlardeck/medlardeck/internal/standin/service"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 // Sizes and times of the scenario, on the wall clock.
@@ -246,9 +246,9 @@
 	for _, ops := range s.Calls() {
 		for op, n := range ops {
 			switch op {
-			case platform.OpCAS, platform.OpDelete, platform.OpLeaseGrant, platform.OpLeaseRenew, platform.OpLeaseRevoke:
+			case store.OpCAS, store.OpDelete, store.OpLeaseGrant, store.OpLeaseRenew, store.OpLeaseRevoke:
 				writes += n
-			case platform.OpGet, platform.OpRange, platform.OpWatch, platform.OpInstances:
+			case store.OpGet, store.OpRange, store.OpWatch, store.OpInstances:
 				reads += n
 			}
 		}
--- a/internal/load/instances.go
+++ b/internal/load/instances.go
@@ -17,8 +17,8 @@
 	"github.com/medlardeck/medlardeck/internal/membership"
 	"github.com/medlardeck/medlardeck/internal/node"
 	"github.com/medlardeck/medlardeck/internal/peer"
-	"github.com/medlardeck/medlardeck/internal/platform"
 	standin "github.com/medlardeck/medlardeck/internal/standin/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 // cluster is many entry instances without callers and targets: real nodes and
@@ -30,8 +30,8 @@
 	nodes      []*node.Node
 	clients    []*peer.Client
 	servers    []*peer.Server
-	stores     []*platform.HTTP
-	instances  []platform.Instance
+	stores     []*store.HTTP
+	instances  []store.Instance
 	cut        string // failure domain without a path to the store
 	configured time.Duration
 }
@@ -110,7 +110,7 @@
 		if listeners[i], err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 			return f, fmt.Errorf("listen for peers: %w", err)
 		}
-		f.instances = append(f.instances, platform.Instance{
+		f.instances = append(f.instances, store.Instance{
 			Name: fmt.Sprintf("entry-%04d", i), Role: membership.EntryRole,
 			FailureDomain: fmt.Sprintf("domain-%d", i%domains), Address: listeners[i].Addr().String(),
 		})
@@ -141,15 +141,15 @@
 	if err != nil {
 		return err
 	}
-	client, store := peer.NewClient(in.Name, identity.Client()), platform.NewHTTP(f.server.URL, in.Name)
+	client, kv := peer.NewClient(in.Name, identity.Client()), store.NewHTTP(f.server.URL, in.Name)
 	n := node.New(node.Options{
 		Entry: entry.Options{
 			Name: in.Name, FailureDomain: in.FailureDomain, Address: in.Address, Incarnation: 1, Seed: seed + uint64(i),
 		},
 		Peers: client, Log: logr.Discard(), Counter: f.watch,
-		Store: platform.NewClient(store, platform.ClientOptions{Seed: uint64(i)}),
+		Store: store.NewClient(kv, store.ClientOptions{Seed: uint64(i)}),
 	})
-	f.nodes, f.clients, f.stores = append(f.nodes, n), append(f.clients, client), append(f.stores, store)
+	f.nodes, f.clients, f.stores = append(f.nodes, n), append(f.clients, client), append(f.stores, kv)
 	server, err := peer.Serve(ln, identity.Server(), n.Receive)
 	if err != nil {
 		return err
@@ -187,14 +187,14 @@
 }
 
 // calls counts all calls to the store by instances.
-func (f *cluster) calls() int { return f.count(func(platform.Op) bool { return true }) }
+func (f *cluster) calls() int { return f.count(func(store.Op) bool { return true }) }
 
 // reads counts the values that instances read.
 func (f *cluster) reads() int {
-	return f.count(func(op platform.Op) bool { return op == platform.OpGet })
+	return f.count(func(op store.Op) bool { return op == store.OpGet })
 }
 
-func (f *cluster) count(which func(platform.Op) bool) int {
+func (f *cluster) count(which func(store.Op) bool) int {
 	n := 0
 	for caller, ops := range f.service.Calls() {
 		for op, calls := range ops {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -9,7 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/medlardeck/medlardeck/internal/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 // Times and sizes of the protocol.
@@ -146,7 +146,7 @@
 
 // Listed merges the platform's list. It adds instances that were unknown; it
 // neither revives nor ends one that heartbeats speak of, since it lags.
-func (t *Table) Listed(now time.Duration, list []platform.Instance) {
+func (t *Table) Listed(now time.Duration, list []store.Instance) {
 	for _, m := range t.members {
 		m.listed = false
 	}
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -9,7 +9,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"github.com/medlardeck/medlardeck/internal/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 func member3() *Table {
@@ -79,7 +79,7 @@
 	table := member3()
 	table.Failed(0, "x")
 	table.Expire(SuspicionTimeout)
-	table.Listed(SuspicionTimeout, []platform.Instance{
+	table.Listed(SuspicionTimeout, []store.Instance{
 		{Name: "x", Role: EntryRole, FailureDomain: "a"},
 		{Name: "y", Role: EntryRole, FailureDomain: "a", Leaving: true},
 		{Name: "z", Role: EntryRole, FailureDomain: "b", Address: "z"},
--- a/internal/node/claims_test.go
+++ b/internal/node/claims_test.go
@@ -16,9 +16,9 @@
 	"github.com/medlardeck/medlardeck/internal/configuration"
 	"github.com/medlardeck/medlardeck/internal/engineclient"
 	"github.com/medlardeck/medlardeck/internal/entry"
-	"github.com/medlardeck/medlardeck/internal/platform"
 	"github.com/medlardeck/medlardeck/internal/result"
 	platformstandin "github.com/medlardeck/medlardeck/internal/standin/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 // claimInput is one arrival of an identity, claimOutput its result.
@@ -62,8 +62,8 @@
 }
 
 func TestConcurrentClaimsAreLinearizable(t *testing.T) {
-	store := platformstandin.New(platformstandin.Options{Seed: 3})
-	storeServer := httptest.NewServer(store.Handler())
+	fake := platformstandin.New(platformstandin.Options{Seed: 3})
+	storeServer := httptest.NewServer(fake.Handler())
 	defer storeServer.Close()
 	var runs sync.Map
 	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -76,12 +76,12 @@
 	defer service.Close()
 	var nodes []*Node
 	for i := range 3 {
-		adapter := platform.NewHTTP(storeServer.URL, fmt.Sprintf("entry-%d", i))
+		adapter := store.NewHTTP(storeServer.URL, fmt.Sprintf("entry-%d", i))
 		defer adapter.Close()
 		n := New(Options{
 			Entry:   entry.Options{Name: fmt.Sprintf("entry-%d", i), Incarnation: 1, Seed: uint64(i)},
 			Client:  engineclient.New(time.Second),
-			Store:   platform.NewClient(adapter, platform.ClientOptions{Seed: uint64(i), CallsPerSecond: 1000, Burst: 1000}),
+			Store:   store.NewClient(adapter, store.ClientOptions{Seed: uint64(i), CallsPerSecond: 1000, Burst: 1000}),
 			Log:     logr.Discard(),
 			Counter: discard{},
 		})
@@ -96,7 +96,7 @@
 		}})
 		nodes = append(nodes, n)
 	}
-	store.SetFaults(platformstandin.Faults{LostAnswers: 0.2, Refusals: 0.1, Prefix: "claims/"})
+	fake.SetFaults(platformstandin.Faults{LostAnswers: 0.2, Refusals: 0.1, Prefix: "claims/"})
 	history := bookConcurrently(nodes, 6, 10)
 	must.Eq(t, porcupine.Ok, porcupine.CheckOperationsTimeout(claimRegister.ToModel(), history, time.Minute))
 	history[len(history)-1].Output = claimOutput{code: result.Complete, answer: "another run"}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,8 +12,8 @@
 	"github.com/medlardeck/medlardeck/internal/configuration"
 	"github.com/medlardeck/medlardeck/internal/engineclient"
 	"github.com/medlardeck/medlardeck/internal/entry"
-	"github.com/medlardeck/medlardeck/internal/platform"
 	"github.com/medlardeck/medlardeck/internal/request"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 // Counter takes counts of decisions.
@@ -42,7 +42,7 @@
 	OrderToken string
 	// Store is the budgeted client of the platform's store; nil answers every
 	// call as unsent.
-	Store   platform.Store
+	Store   store.Store
 	Log     logr.Logger
 	Counter Counter
 	// Histograms is nil where nobody reads them.
--- a/internal/replay/instance.go
+++ b/internal/replay/instance.go
@@ -4,8 +4,8 @@
 	"slices"
 
 	"github.com/medlardeck/medlardeck/internal/entry"
-	"github.com/medlardeck/medlardeck/internal/platform"
 	"github.com/medlardeck/medlardeck/internal/request"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 // instance is one entry instance of a replay.
@@ -93,7 +93,7 @@
 	return a.ev.ev, true
 }
 
-func sameCall(c platform.Call, to To) bool { return c.Op == to.Op && c.Key == to.Key }
+func sameCall(c store.Call, to To) bool { return c.Op == to.Op && c.Key == to.Key }
 
 func (in *instance) step(ev entry.Event) {
 	for _, eff := range slices.Clone(in.entry.Step(in.run.now, ev)) {
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -14,8 +14,8 @@
 
 	"github.com/medlardeck/medlardeck/internal/configuration"
 	"github.com/medlardeck/medlardeck/internal/entry"
-	"github.com/medlardeck/medlardeck/internal/platform"
 	"github.com/medlardeck/medlardeck/internal/result"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 // maxLineBytes bounds one line of a trace: a value of the store in base64 with
@@ -83,8 +83,8 @@
 // To names an effect that an event answers.
 type To struct {
 	// Op and Key name the oldest open call to the store with them.
-	Op  platform.Op `json:"op,omitempty"`
-	Key string      `json:"key,omitempty"`
+	Op  store.Op `json:"op,omitempty"`
+	Key string   `json:"key,omitempty"`
 	// Request names the last attempt of a request.
 	Request entry.RequestID `json:"request,omitempty"`
 }
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/medlardeck/medlardeck/internal/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 // Faults are what goes wrong until the next change. The zero value is a
@@ -43,7 +43,7 @@
 	delay              time.Duration
 }
 
-func (f *faultState) judge(caller string, call platform.Call) verdict {
+func (f *faultState) judge(caller string, call store.Call) verdict {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !strings.HasPrefix(call.Key, f.now.Prefix) {
@@ -92,29 +92,29 @@
 
 // Local returns a store that calls the stand-in without a socket, with the
 // same counters, rates and faults.
-func (s *Service) Local(caller string) platform.Store { return local{s: s, caller: caller} }
+func (s *Service) Local(caller string) store.Store { return local{s: s, caller: caller} }
 
 type local struct {
 	s      *Service
 	caller string
 }
 
-// Do implements platform.Store.
-func (l local) Do(ctx context.Context, call platform.Call) platform.Reply {
+// Do implements store.Store.
+func (l local) Do(ctx context.Context, call store.Call) store.Reply {
 	reply, answered := l.s.do(ctx, l.caller, call)
 	if !answered {
-		return platform.Reply{Status: platform.StatusUnknown}
+		return store.Reply{Status: store.StatusUnknown}
 	}
 	return reply
 }
 
 // do carries out a call with its faults; answered is false when the
 // connection breaks in place of the answer.
-func (s *Service) do(ctx context.Context, caller string, call platform.Call) (reply platform.Reply, answered bool) {
+func (s *Service) do(ctx context.Context, caller string, call store.Call) (reply store.Reply, answered bool) {
 	admitted := s.admit(caller, call.Op)
 	v := s.faults.judge(caller, call)
 	if v.drop {
-		return platform.Reply{}, false
+		return store.Reply{}, false
 	}
 	if v.delay > 0 {
 		timer := time.NewTimer(v.delay)
@@ -122,13 +122,13 @@
 		select {
 		case <-timer.C:
 		case <-ctx.Done():
-			return platform.Reply{}, false
+			return store.Reply{}, false
 		}
 	}
 	if !admitted || v.refuse {
-		return platform.Reply{Status: platform.StatusRefused}, true
+		return store.Reply{Status: store.StatusRefused}, true
 	}
-	if call.Op == platform.OpWatch {
+	if call.Op == store.OpWatch {
 		return s.watch(ctx, call), true
 	}
 	reply = s.apply(call)
--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -11,7 +11,7 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/medlardeck/medlardeck/internal/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 // Handler serves the API of docs/PLATFORM.md, and below /standin the faults
@@ -33,22 +33,22 @@
 }
 
 // run carries out a call and writes its end.
-func (s *Service) run(w http.ResponseWriter, r *http.Request, call platform.Call) (platform.Reply, bool) {
-	reply, answered := s.do(r.Context(), r.Header.Get(platform.HeaderCaller), call)
+func (s *Service) run(w http.ResponseWriter, r *http.Request, call store.Call) (store.Reply, bool) {
+	reply, answered := s.do(r.Context(), r.Header.Get(store.HeaderCaller), call)
 	if !answered {
 		panic(http.ErrAbortHandler)
 	}
 	if reply.Revision != 0 {
-		w.Header().Set("ETag", platform.ETag(reply.Revision))
+		w.Header().Set("ETag", store.ETag(reply.Revision))
 	}
 	switch reply.Status {
-	case platform.StatusOK:
+	case store.StatusOK:
 		return reply, true
-	case platform.StatusConflict:
+	case store.StatusConflict:
 		w.WriteHeader(http.StatusPreconditionFailed)
-	case platform.StatusNotFound:
+	case store.StatusNotFound:
 		w.WriteHeader(http.StatusNotFound)
-	case platform.StatusRefused, platform.StatusUnsent, platform.StatusUnknown:
+	case store.StatusRefused, store.StatusUnsent, store.StatusUnknown:
 		w.WriteHeader(http.StatusTooManyRequests)
 	}
 	return reply, false
@@ -59,7 +59,7 @@
 	if !ok {
 		return
 	}
-	if reply, ok := s.run(w, r, platform.Call{Op: platform.OpGet, Key: key}); ok {
+	if reply, ok := s.run(w, r, store.Call{Op: store.OpGet, Key: key}); ok {
 		w.Write(reply.KVs[0].Value)
 	}
 }
@@ -69,9 +69,9 @@
 	if !ok {
 		return
 	}
-	call := platform.Call{Op: platform.OpCAS, Key: key}
+	call := store.Call{Op: store.OpCAS, Key: key}
 	if r.Method == http.MethodDelete {
-		call.Op = platform.OpDelete
+		call.Op = store.OpDelete
 	}
 	var err error
 	if call.Revision, err = expected(r); err != nil {
@@ -84,7 +84,7 @@
 			return
 		}
 	}
-	if call.Value, err = io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1)); err != nil {
+	if call.Value, err = io.ReadAll(io.LimitReader(r.Body, store.MaxValueBytes+1)); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
@@ -92,7 +92,7 @@
 }
 
 func keyOf(w http.ResponseWriter, r *http.Request) (string, bool) {
-	key, err := platform.UnescapeKey(mux.Vars(r)["key"])
+	key, err := store.UnescapeKey(mux.Vars(r)["key"])
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 	}
@@ -105,7 +105,7 @@
 	if r.Header.Get("If-None-Match") == "*" {
 		return 0, nil
 	}
-	rev, err := platform.ParseETag(r.Header.Get("If-Match"))
+	rev, err := store.ParseETag(r.Header.Get("If-Match"))
 	if err != nil {
 		return 0, fmt.Errorf("write %s: %w", r.URL.Path, err)
 	}
@@ -114,7 +114,7 @@
 
 func (s *Service) serveRange(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	if reply, ok := s.run(w, r, platform.Call{Op: platform.OpRange, Key: q.Get("prefix"), After: q.Get("after")}); ok {
+	if reply, ok := s.run(w, r, store.Call{Op: store.OpRange, Key: q.Get("prefix"), After: q.Get("after")}); ok {
 		json.NewEncoder(w).Encode(reply)
 	}
 }
@@ -127,21 +127,21 @@
 		http.Error(w, "after and wait are required", http.StatusBadRequest)
 		return
 	}
-	if reply, ok := s.run(w, r, platform.Call{Op: platform.OpWatch, Key: q.Get("prefix"), Revision: rev, Budget: wait}); ok {
+	if reply, ok := s.run(w, r, store.Call{Op: store.OpWatch, Key: q.Get("prefix"), Revision: rev, Budget: wait}); ok {
 		json.NewEncoder(w).Encode(reply)
 	}
 }
 
 func (s *Service) serveLease(w http.ResponseWriter, r *http.Request) {
-	call := platform.Call{Op: platform.OpLeaseGrant}
+	call := store.Call{Op: store.OpLeaseGrant}
 	var err error
 	switch r.Method {
 	case http.MethodPost:
 		call.TTL, err = time.ParseDuration(r.URL.Query().Get("ttl"))
 	case http.MethodPut:
-		call.Op = platform.OpLeaseRenew
+		call.Op = store.OpLeaseRenew
 	default:
-		call.Op = platform.OpLeaseRevoke
+		call.Op = store.OpLeaseRevoke
 	}
 	if id := mux.Vars(r)["lease"]; id != "" {
 		call.Lease, err = strconv.ParseInt(id, 10, 64)
@@ -156,7 +156,7 @@
 }
 
 func (s *Service) serveInstances(w http.ResponseWriter, r *http.Request) {
-	if reply, ok := s.run(w, r, platform.Call{Op: platform.OpInstances}); ok {
+	if reply, ok := s.run(w, r, store.Call{Op: store.OpInstances}); ok {
 		json.NewEncoder(w).Encode(reply)
 	}
 }
@@ -175,7 +175,7 @@
 }
 
 func (s *Service) serveSetInstances(w http.ResponseWriter, r *http.Request) {
-	var list []platform.Instance
+	var list []store.Instance
 	if err := json.NewDecoder(r.Body).Decode(&list); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -12,7 +12,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/medlardeck/medlardeck/internal/platform"
+	"github.com/medlardeck/medlardeck/internal/store"
 )
 
 // Sizes of the stand-in.
@@ -45,19 +45,19 @@
 	mu        sync.Mutex
 	revision  int64
 	keys      map[string]record
-	history   []platform.KV // changes in the order of their revisions
-	compacted int64         // changes up to this revision left the history
+	history   []store.KV // changes in the order of their revisions
+	compacted int64      // changes up to this revision left the history
 	leases    map[int64]lease
 	nextLease int64
 	instances []listing
 	changed   chan struct{} // closed and replaced at each change
-	calls     map[string]map[platform.Op]int
+	calls     map[string]map[store.Op]int
 	snapshot  *snapshot
 	faults    faultState
 }
 
 type record struct {
-	kv    platform.KV
+	kv    store.KV
 	lease int64
 }
 
@@ -68,7 +68,7 @@
 
 type listing struct {
 	at        time.Time
-	instances []platform.Instance
+	instances []store.Instance
 }
 
 type snapshot struct {
@@ -84,7 +84,7 @@
 	s := &Service{
 		opts: opts, writes: limiter(opts.WritesPerSecond), reads: limiter(opts.ReadsPerSecond),
 		keys: make(map[string]record), leases: make(map[int64]lease),
-		changed: make(chan struct{}), calls: make(map[string]map[platform.Op]int),
+		changed: make(chan struct{}), calls: make(map[string]map[store.Op]int),
 	}
 	s.faults.seed(opts.Seed)
 	return s
@@ -98,11 +98,11 @@
 }
 
 // admit counts a call and reports whether the rates allow it.
-func (s *Service) admit(caller string, op platform.Op) bool {
+func (s *Service) admit(caller string, op store.Op) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.calls[caller] == nil {
-		s.calls[caller] = make(map[platform.Op]int)
+		s.calls[caller] = make(map[store.Op]int)
 	}
 	s.calls[caller][op]++
 	now := s.opts.Now()
@@ -112,22 +112,22 @@
 	return s.reads.AllowN(now, 1)
 }
 
-func isWrite(op platform.Op) bool {
+func isWrite(op store.Op) bool {
 	switch op {
-	case platform.OpCAS, platform.OpDelete, platform.OpLeaseGrant, platform.OpLeaseRenew, platform.OpLeaseRevoke:
+	case store.OpCAS, store.OpDelete, store.OpLeaseGrant, store.OpLeaseRenew, store.OpLeaseRevoke:
 		return true
-	case platform.OpGet, platform.OpRange, platform.OpWatch, platform.OpInstances:
+	case store.OpGet, store.OpRange, store.OpWatch, store.OpInstances:
 	}
 	return false
 }
 
 // Calls returns the number of calls by caller and kind since the start.
-func (s *Service) Calls() map[string]map[platform.Op]int {
+func (s *Service) Calls() map[string]map[store.Op]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make(map[string]map[platform.Op]int, len(s.calls))
+	out := make(map[string]map[store.Op]int, len(s.calls))
 	for caller, ops := range s.calls {
-		out[caller] = make(map[platform.Op]int, len(ops))
+		out[caller] = make(map[store.Op]int, len(ops))
 		for op, n := range ops {
 			out[caller][op] = n
 		}
@@ -136,54 +136,54 @@
 }
 
 // apply carries out any call but a watch.
-func (s *Service) apply(call platform.Call) platform.Reply {
+func (s *Service) apply(call store.Call) store.Reply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	switch call.Op {
-	case platform.OpGet:
+	case store.OpGet:
 		return s.get(call.Key)
-	case platform.OpRange:
+	case store.OpRange:
 		return s.list(call)
-	case platform.OpCAS:
+	case store.OpCAS:
 		return s.swap(call)
-	case platform.OpDelete:
+	case store.OpDelete:
 		return s.remove(call)
-	case platform.OpLeaseGrant:
+	case store.OpLeaseGrant:
 		s.nextLease++
 		s.leases[s.nextLease] = lease{ttl: call.TTL, expires: s.opts.Now().Add(call.TTL)}
-		return platform.Reply{Status: platform.StatusOK, Lease: s.nextLease, TTL: call.TTL}
-	case platform.OpLeaseRenew:
+		return store.Reply{Status: store.StatusOK, Lease: s.nextLease, TTL: call.TTL}
+	case store.OpLeaseRenew:
 		l, ok := s.leases[call.Lease]
 		if !ok {
-			return platform.Reply{Status: platform.StatusNotFound}
+			return store.Reply{Status: store.StatusNotFound}
 		}
 		l.expires = s.opts.Now().Add(l.ttl)
 		s.leases[call.Lease] = l
-		return platform.Reply{Status: platform.StatusOK, Lease: call.Lease, TTL: l.ttl}
-	case platform.OpLeaseRevoke:
+		return store.Reply{Status: store.StatusOK, Lease: call.Lease, TTL: l.ttl}
+	case store.OpLeaseRevoke:
 		if _, ok := s.leases[call.Lease]; !ok {
-			return platform.Reply{Status: platform.StatusNotFound}
+			return store.Reply{Status: store.StatusNotFound}
 		}
 		s.endLease(call.Lease)
-		return platform.Reply{Status: platform.StatusOK, Lease: call.Lease}
-	case platform.OpInstances:
-		return platform.Reply{Status: platform.StatusOK, Revision: s.revision, Instances: s.listed()}
-	case platform.OpWatch:
+		return store.Reply{Status: store.StatusOK, Lease: call.Lease}
+	case store.OpInstances:
+		return store.Reply{Status: store.StatusOK, Revision: s.revision, Instances: s.listed()}
+	case store.OpWatch:
 	}
-	return platform.Reply{Status: platform.StatusRefused}
+	return store.Reply{Status: store.StatusRefused}
 }
 
-func (s *Service) get(key string) platform.Reply {
+func (s *Service) get(key string) store.Reply {
 	rec, ok := s.keys[key]
 	if !ok {
-		return platform.Reply{Status: platform.StatusNotFound, Revision: s.revision}
+		return store.Reply{Status: store.StatusNotFound, Revision: s.revision}
 	}
-	return platform.Reply{Status: platform.StatusOK, KVs: []platform.KV{rec.kv}, Revision: rec.kv.Revision}
+	return store.Reply{Status: store.StatusOK, KVs: []store.KV{rec.kv}, Revision: rec.kv.Revision}
 }
 
 // list returns one page of keys with the prefix, those after call.After.
-func (s *Service) list(call platform.Call) platform.Reply {
+func (s *Service) list(call store.Call) store.Reply {
 	var names []string
 	for name := range s.keys {
 		if strings.HasPrefix(name, call.Key) && name > call.After {
@@ -191,7 +191,7 @@
 		}
 	}
 	slices.Sort(names)
-	reply := platform.Reply{Status: platform.StatusOK, Revision: s.revision}
+	reply := store.Reply{Status: store.StatusOK, Revision: s.revision}
 	size := 0
 	for _, name := range names {
 		kv := s.keys[name].kv
@@ -205,43 +205,43 @@
 	return reply
 }
 
-func (s *Service) swap(call platform.Call) platform.Reply {
+func (s *Service) swap(call store.Call) store.Reply {
 	old := s.keys[call.Key]
 	if old.kv.Revision != call.Revision {
-		return platform.Reply{Status: platform.StatusConflict, Revision: old.kv.Revision}
+		return store.Reply{Status: store.StatusConflict, Revision: old.kv.Revision}
 	}
-	if len(call.Value) > platform.MaxValueBytes {
-		return platform.Reply{Status: platform.StatusRefused, Revision: old.kv.Revision}
+	if len(call.Value) > store.MaxValueBytes {
+		return store.Reply{Status: store.StatusRefused, Revision: old.kv.Revision}
 	}
 	if _, ok := s.leases[call.Lease]; call.Lease != 0 && !ok {
-		return platform.Reply{Status: platform.StatusNotFound}
+		return store.Reply{Status: store.StatusNotFound}
 	}
 	s.revision++
-	kv := platform.KV{Key: call.Key, Value: slices.Clone(call.Value), Revision: s.revision}
+	kv := store.KV{Key: call.Key, Value: slices.Clone(call.Value), Revision: s.revision}
 	s.keys[call.Key] = record{kv: kv, lease: call.Lease}
 	s.changedLocked(kv)
-	return platform.Reply{Status: platform.StatusOK, Revision: s.revision}
+	return store.Reply{Status: store.StatusOK, Revision: s.revision}
 }
 
-func (s *Service) remove(call platform.Call) platform.Reply {
+func (s *Service) remove(call store.Call) store.Reply {
 	old, ok := s.keys[call.Key]
 	if !ok {
-		return platform.Reply{Status: platform.StatusNotFound, Revision: s.revision}
+		return store.Reply{Status: store.StatusNotFound, Revision: s.revision}
 	}
 	if old.kv.Revision != call.Revision {
-		return platform.Reply{Status: platform.StatusConflict, Revision: old.kv.Revision}
+		return store.Reply{Status: store.StatusConflict, Revision: old.kv.Revision}
 	}
 	s.removeLocked(call.Key)
-	return platform.Reply{Status: platform.StatusOK, Revision: s.revision}
+	return store.Reply{Status: store.StatusOK, Revision: s.revision}
 }
 
 func (s *Service) removeLocked(key string) {
 	delete(s.keys, key)
 	s.revision++
-	s.changedLocked(platform.KV{Key: key, Revision: s.revision, Deleted: true})
+	s.changedLocked(store.KV{Key: key, Revision: s.revision, Deleted: true})
 }
 
-func (s *Service) changedLocked(kv platform.KV) {
+func (s *Service) changedLocked(kv store.KV) {
 	s.history = append(s.history, kv)
 	if drop := len(s.history) - historyEntries; drop > 0 {
 		s.compacted = s.history[drop-1].Revision
@@ -281,13 +281,13 @@
 }
 
 // SetInstances changes the list of instances; the change shows after the lag.
-func (s *Service) SetInstances(instances []platform.Instance) {
+func (s *Service) SetInstances(instances []store.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.instances = append(s.instances, listing{at: s.opts.Now(), instances: slices.Clone(instances)})
 }
 
-func (s *Service) listed() []platform.Instance {
+func (s *Service) listed() []store.Instance {
 	visible := s.opts.Now().Add(-s.opts.InstanceLag)
 	last := 0
 	for i, l := range s.instances {
--- a/internal/platform/platform.go
+++ b/internal/store/platform.go
@@ -1,9 +1,9 @@
-// Package platform is the port to the platform's key-value service: get,
+// Package store is the port to the platform's key-value service: get,
 // compare-and-swap on a revision, leases, watches and the list of instances.
 //
 // Decision code sees only Call and Reply as data; adapters carry them out.
 // docs/PLATFORM.md documents the semantics on one page.
-package platform
+package store
 
 import "time"
 
--- a/internal/platform/store.go
+++ b/internal/store/store.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import "context"
 
