--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -48,9 +48,10 @@
 	outbox   outbox
 	budgets  map[string]*budget // by service
 	suspects map[uint64]*suspect
-	demands  map[string]*demand // by service
-	errors   map[string]float64 // learnt, by service
-	domains  map[string]*domain // with failures since the last success
+	demands  map[string]*demand     // by service
+	errors   map[string]float64     // learnt, by service
+	domains  map[string]*domain     // with failures since the last success
+	answers  map[string]*answerTime // by route
 	stopping bool
 	// Callers that come after lagEnds are taken only if they end by stopBy.
 	lagEnds, stopBy time.Duration
@@ -65,7 +66,7 @@
 		requests: make(map[RequestID]*active), attempts: make(map[AttemptID]*active),
 		turn: make(map[string]int), peers: make(map[string]*peer),
 		budgets: make(map[string]*budget), suspects: make(map[uint64]*suspect), domains: make(map[string]*domain),
-		demands: make(map[string]*demand), errors: make(map[string]float64),
+		demands: make(map[string]*demand), errors: make(map[string]float64), answers: make(map[string]*answerTime),
 		store: storeState{reachable: true},
 	}
 	return c
@@ -141,8 +142,7 @@
 	}
 	need := stopFactor * a.arrive.Route.TargetLatency
 	if e := c.engine(a); e != nil {
-		step := e.StepMS + float64(e.Slots)*e.writerMS(float64(e.UsualPrompt))
-		need += fromMS(e.readMS(a.arrive.PromptTokens, 1) + float64(a.arrive.MaxAnswerTokens)*step)
+		need += fromMS(e.readMS(a.arrive.PromptTokens, 1)) + c.answerWithin(a, e)
 	}
 	return c.now+need < c.stopBy
 }
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -261,6 +261,9 @@
 	begin := time.Now()
 	i.node.Step(fleet.Stop{Lag: balancerLag, Grace: grace})
 	time.Sleep(balancerLag)
+	// Callers on kept connections go to another instance with their next request;
+	// answers from now on ask for the same.
+	i.callers.SetKeepAlivesEnabled(false)
 	for time.Since(begin) < grace-lastArrivals && !i.node.Quiet(quietTime) {
 		time.Sleep(quietStep)
 	}
