--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -41,6 +41,7 @@
 		"load":     {"measure callers' view under load and faults", runLoad},
 		"replay":   {"replay recorded traces against their stated outcomes", runReplay},
 		"serve":    {"run one entry instance", runServe},
+		"simulate": {"play days before modelled engines over virtual time", runSimulate},
 		"standin":  {"run a stand-in of the platform, an engine or a service", runStandin},
 		"version":  {"print the version", runVersion},
 	}
