--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -21,6 +21,7 @@
 // demand is the value of recent requests against the engine time they take.
 type demand struct {
 	value, workMS float64
+	longMS        float64 // of workMS, for prompts that are not short
 	at            time.Duration
 }
 
@@ -40,10 +41,25 @@
 	}
 	decay := math.Exp(-float64(c.now-d.at) / float64(demandMemory))
 	d.value = d.value*decay + a.value
-	d.workMS = d.workMS*decay + e.workMS(a.arrive.PromptTokens)
+	work := e.workMS(a.arrive.PromptTokens)
+	d.workMS = d.workMS*decay + work
+	d.longMS *= decay
+	if e.readMS(a.arrive.PromptTokens, 1) >= a.shortMS() {
+		d.longMS += work
+	}
 	d.at = c.now
 }
 
+// longShare is the share of the recent demand for engine time that comes from
+// prompts that are not short.
+func (c *Core) longShare(service string) float64 {
+	d := c.demands[service]
+	if d == nil || d.workMS == 0 {
+		return 0
+	}
+	return d.longMS / d.workMS
+}
+
 // price is the value that others lose while the engines work on the request:
 // nothing while much of their time is free.
 func (c *Core) price(a *active, e *Engine) float64 {
--- a/internal/fleet/model.go
+++ b/internal/fleet/model.go
@@ -26,10 +26,18 @@
 	return e.PerSequenceMS + e.ContextMSPerK*contextTokens/1000
 }
 
+// requestKey identifies a request among all instances.
+type requestKey struct {
+	owner   string
+	request uint64
+}
+
 // reading is a prompt, or a part of one, that waits to be read.
 type reading struct {
 	ms     float64 // left to read
 	chunks float64 // steps that it takes
+	// request is the one whose prompt it is.
+	request requestKey
 	// value is that of the request; its first event satisfies the caller within
 	// so many milliseconds, and finds the caller within leaves.
 	value, within, leaves float64
@@ -42,6 +50,7 @@
 	unread   float64 // milliseconds of reading that wait
 	step     float64 // milliseconds of one step with all present writers
 	writers  int
+	prompts  int // that the engine reads for its own requests
 	memory   int // tokens taken or promised
 	// queue is what waits to be read, in its order: parts for other engines, the
 	// newest first, before the engine's own prompts.
@@ -68,11 +77,14 @@
 		if f.unreadMS <= 0 {
 			continue
 		}
+		if !f.Part {
+			l.prompts++
+		}
 		l.unread += f.unreadMS
 		age := ms(r.advancedAt-f.seenAt) + float64(f.AgeMS)
 		l.queue = append(l.queue, reading{
 			ms: f.unreadMS, chunks: e.chunks(f.ContextTokens) * f.unreadMS / f.ReadMS,
-			value: f.Value, within: float64(f.FirstWithinMS) - age, leaves: float64(f.LeavesWithinMS) - age,
+			request: requestKey{f.owner, f.Request}, value: f.Value, within: float64(f.FirstWithinMS) - age, leaves: float64(f.LeavesWithinMS) - age,
 		})
 	}
 	_, l.worstPass = e.readAll(l.queue, l.step, -1)
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -41,7 +41,11 @@
 	// packing is the preference for a target that is already busy with short
 	// requests over an idle one, as a share of a request's value: idle targets
 	// are kept for long prompts.
-	packing = 0.2
+	packing = 0.3
+	// gatherUntil is the share of all places in use up to which short requests are
+	// gathered even if no long prompts came lately: a burst of those comes without
+	// notice, and there is room for both.
+	gatherUntil = 0.5
 	// maxScatter is the random part of a short request's choice, as a share of its
 	// value, among very many instances: those that decide at the same time should
 	// not all take the same target. halfScatterPeers is the number of peers at
@@ -59,9 +63,22 @@
 	// blindFarCost is the same where the loads of other domains are known only to
 	// the second.
 	blindFarCost = 0.1
+	// openCost is the cost of a first target without writers for a long prompt, as
+	// a share of its value where all of the demand is long: its passes get the
+	// steps of a writer, and it reads less from then on.
+	openCost = 0.3
+	// maxBacklogMS bounds the reading that waits at the targets that a long prompt
+	// is sent to. Parts go first, so a longer queue would starve the older ones.
+	maxBacklogMS = 350
+	// manyParts is the least number of parts of a long prompt where enough targets
+	// are free: each pass then reads little, and nobody waits long for one engine.
+	manyParts = 6
 	// shortShare is the largest share of the longest pause that a prompt's
 	// reading may take to count as short.
 	shortShare = 0.25
+	// wholeShare is the same for the kind of request that targets are kept for: it
+	// is not split, since the first event waits for the slowest of the parts.
+	wholeShare = 0.6
 )
 
 // firstInTime returns the chance that a first event predicted to take that long
@@ -73,8 +90,9 @@
 	return min(1, max(0, (limit-predicted)/(firstMargin*limit+firstMarginMS)))
 }
 
-// partCounts are the numbers of even parts that a prompt may be read in.
-var partCounts = []int{1, 2, 3, 4, 6, 8, 12, 16}
+// partCounts are the numbers of even parts that a prompt may be read in, the most
+// first.
+var partCounts = []int{16, 12, 8, 6, 4, 3, 2, 1}
 
 // onTime returns the chance that something predicted to take that long stays
 // within the limit.
@@ -90,7 +108,9 @@
 	first    *runner
 	helpers  []*runner
 	ticketed bool
-	score    float64
+	// long says that the prompt is read for longer than short requests may pause.
+	long  bool
+	score float64
 	// firstEventMS is the predicted time to the first event.
 	firstEventMS float64
 	modelMS      float64 // the same without the learnt error
@@ -194,67 +214,105 @@
 	// longest is the longest reading in milliseconds that the target takes: it is
 	// bounded where targets are kept for short requests.
 	longest float64
+	// backlog bounds the reading that may wait there, in milliseconds.
+	backlog float64
+}
+
+// takes reports whether the target has room for a reading that needs so many
+// tokens of memory.
+func (cand *candidate) takes(e *Engine, r reading, memory int) bool {
+	return r.ms <= cand.longest && cand.load.unread <= cand.backlog && cand.load.memory+memory <= e.MemoryTokens
+}
+
+// choice is what a choice of targets is made from.
+type choice struct {
+	a     *active
+	e     *Engine
+	cands []candidate
+	// long says that the prompt is read for longer than short requests may pause.
+	long bool
+	// used is the share of all places that is in use.
+	used float64
 }
 
 func (c *Core) mostValuable(a *active, e *Engine, pool []*runner) plan {
-	cands := make([]candidate, 0, len(pool))
-	for _, r := range pool {
-		r.advance(c.now)
-		cands = append(cands, candidate{runner: r, load: r.loadOf(e)})
-	}
-	kept, pause := reserved(cands)
-	for i := range cands {
-		if kept[cands[i].ID] {
-			cands[i].longest = longPart * pause
-		} else {
-			cands[i].longest = math.Inf(1)
-		}
-	}
+	ch := c.choiceOf(a, e, pool)
 	best := plan{score: math.Inf(-1)}
-	alone := e.readMS(a.arrive.PromptTokens, 1)
 	for _, parts := range partCounts {
-		if parts > len(cands) || parts > 1 && alone < a.shortMS() {
+		if parts > len(ch.cands) || parts > 1 && !ch.long {
+			continue
+		}
+		if parts < manyParts && best.first != nil {
 			break
 		}
-		if p, ok := c.bestOf(a, e, cands, parts); ok && p.score > best.score {
+		if p, ok := c.bestOf(ch, parts); ok && p.score > best.score {
 			best = p
 		}
 	}
 	if best.first == nil {
 		return plan{}
 	}
+	best.long = ch.long
 	return best
 }
 
+// choiceOf predicts the state of the targets and what they may read.
+func (c *Core) choiceOf(a *active, e *Engine, pool []*runner) *choice {
+	cands := make([]candidate, 0, len(pool))
+	requests, places := 0, 0
+	for _, r := range pool {
+		r.advance(c.now)
+		cand := candidate{runner: r, load: r.loadOf(e)}
+		cands = append(cands, cand)
+		requests, places = requests+cand.load.requests, places+r.Slots
+	}
+	kept, pause := reserved(cands)
+	sameKind := ms(a.arrive.Route.MaxPause) <= pause // as those that targets are kept for
+	alone := e.readMS(a.arrive.PromptTokens, 1)
+	long := alone >= a.shortMS() && !(sameKind && alone < wholeShare*ms(a.arrive.Route.MaxPause))
+	for i := range cands {
+		cands[i].longest, cands[i].backlog = math.Inf(1), math.Inf(1)
+		if kept[cands[i].ID] && !sameKind {
+			cands[i].longest = longPart * pause
+		}
+		if long {
+			cands[i].backlog = min(maxBacklogMS, cands[i].longest)
+		}
+	}
+	return &choice{a: a, e: e, cands: cands, long: long, used: float64(requests) / float64(max(1, places))}
+}
+
 // shortMS is the longest reading time of a request that counts as short.
 func (a *active) shortMS() float64 { return shortShare * ms(a.arrive.Route.MaxPause) }
 
 // bestOf returns the best plan with that many parts. The memory of the parts is
 // set aside at the helpers if no target has room for the whole.
-func (c *Core) bestOf(a *active, e *Engine, cands []candidate, parts int) (plan, bool) {
-	if p, ok := c.bestWith(a, e, cands, parts, a.memoryTokens(), 0); ok || parts == 1 {
+func (c *Core) bestOf(ch *choice, parts int) (plan, bool) {
+	memory := ch.a.memoryTokens()
+	if p, ok := c.bestWith(ch, parts, memory, 0); ok || parts == 1 {
 		return p, ok
 	}
-	share := a.memoryTokens()/parts + 1
-	p, ok := c.bestWith(a, e, cands, parts, share, share)
+	share := memory/parts + 1
+	p, ok := c.bestWith(ch, parts, share, share)
 	p.ticketed = true
 	return p, ok
 }
 
 // bestWith is bestOf with the memory needed at the first target and at helpers.
-func (c *Core) bestWith(a *active, e *Engine, cands []candidate, parts, firstNeed, helperNeed int) (plan, bool) {
-	read := reading{ms: e.readMS(a.arrive.PromptTokens, parts), chunks: e.chunks(a.arrive.PromptTokens / parts)}
+func (c *Core) bestWith(ch *choice, parts, firstNeed, helperNeed int) (plan, bool) {
+	prompt := ch.a.arrive.PromptTokens
+	read := reading{ms: ch.e.readMS(prompt, parts), chunks: ch.e.chunks(prompt / parts)}
 	best := plan{score: math.Inf(-1)}
-	helpers := c.pickHelpers(e, cands, parts-1, read, helperNeed)
+	helpers := c.pickHelpers(ch, parts-1, read, helperNeed)
 	if len(helpers) < parts-1 {
 		return plan{}, false
 	}
-	for i := range cands {
-		cand := &cands[i]
-		if slices.Contains(helpers, cand) || read.ms > cand.longest || cand.load.memory+firstNeed > e.MemoryTokens {
+	for i := range ch.cands {
+		cand := &ch.cands[i]
+		if slices.Contains(helpers, cand) || !cand.takes(ch.e, read, firstNeed) {
 			continue
 		}
-		if p := c.score(a, e, cand, helpers, read); p.score > best.score {
+		if p := c.score(ch, cand, helpers, read); p.score > best.score {
 			best = p
 		}
 	}
@@ -262,7 +320,7 @@
 }
 
 // pickHelpers returns the targets that lose least by reading a part.
-func (c *Core) pickHelpers(e *Engine, cands []candidate, n int, read reading, memory int) []*candidate {
+func (c *Core) pickHelpers(ch *choice, n int, read reading, memory int) []*candidate {
 	if n == 0 {
 		return nil
 	}
@@ -271,12 +329,13 @@
 		harm float64
 	}
 	var losses []loss
-	for i := range cands {
-		cand := &cands[i]
-		if cand.load.helping >= cand.Slots || read.ms > cand.longest || cand.load.memory+memory > e.MemoryTokens {
+	for i := range ch.cands {
+		cand := &ch.cands[i]
+		if cand.load.helping >= cand.Slots || !cand.takes(ch.e, read, memory) {
 			continue
 		}
-		losses = append(losses, loss{cand, c.harm(e, cand, read, true, 0) + delayCost*cand.load.unread/1000 + c.far(cand.runner)})
+		harm := c.harm(ch.e, cand, read, true, 0) + delayLosses([]*candidate{cand}, read.ms)
+		losses = append(losses, loss{cand, harm + delayCost*cand.load.unread/1000 + c.far(cand.runner)})
 	}
 	slices.SortStableFunc(losses, func(a, b loss) int { return cmp.Compare(a.harm, b.harm) })
 	var out []*candidate
@@ -299,8 +358,8 @@
 	}
 }
 
-// harm is the value that requests at the target lose when it reads that much for
-// another one, whose writing adds writerMS to each step.
+// harm is the value that requests which write at the target lose by longer pauses
+// when it reads that much for another one, whose writing adds writerMS to each step.
 func (c *Core) harm(e *Engine, cand *candidate, r reading, part bool, writerMS float64) float64 {
 	if len(cand.flights) == 0 {
 		return 0
@@ -308,9 +367,6 @@
 	queue, _ := cand.load.with(r, part)
 	_, after := e.readAll(queue, cand.load.step+writerMS, -1)
 	var lost float64
-	if part {
-		lost = cand.load.delayLoss(r.ms)
-	}
 	for _, f := range cand.flights {
 		if f.MaxPauseMS > 0 && !f.Part {
 			g := float64(f.MaxPauseMS)
@@ -320,17 +376,34 @@
 	return lost
 }
 
-// delayLoss is the value that the readings in the queue lose when a part for
-// another engine, which goes first, delays them.
-func (l *load) delayLoss(delayMS float64) float64 {
-	var lost, ahead float64
+// delayLoss passes on the value that each reading in the queue loses when a part
+// for another engine, which goes first, delays it.
+func (l *load) delayLoss(delayMS float64, lost func(requestKey, float64)) {
+	var ahead float64
 	for _, q := range l.queue {
 		ahead += q.ms
 		after := ahead + delayMS
-		lost += q.value * (1 - lateShare) * (onTime(ahead, q.within) - onTime(after, q.within))
-		lost += q.value * lateShare * (onTime(ahead, q.leaves) - onTime(after, q.leaves))
+		late := q.value * (1 - lateShare) * (onTime(ahead, q.within) - onTime(after, q.within))
+		left := q.value * lateShare * (onTime(ahead, q.leaves) - onTime(after, q.leaves))
+		if late+left > 0 {
+			lost(q.request, late+left)
+		}
 	}
-	return lost
+}
+
+// delayLosses is what other prompts lose when each of the helpers reads a part
+// first. A prompt in parts is read when its last part is: it loses once, by the
+// part that is delayed most.
+func delayLosses(helpers []*candidate, delayMS float64) float64 {
+	worst := make(map[requestKey]float64)
+	var sum float64
+	for _, h := range helpers {
+		h.load.delayLoss(delayMS, func(k requestKey, lost float64) {
+			sum += max(0, lost-worst[k])
+			worst[k] = max(worst[k], lost)
+		})
+	}
+	return sum
 }
 
 // scatter is the random part of a short request's choice.
@@ -340,7 +413,8 @@
 }
 
 // score predicts what a plan is worth.
-func (c *Core) score(a *active, e *Engine, first *candidate, helpers []*candidate, read reading) plan {
+func (c *Core) score(ch *choice, first *candidate, helpers []*candidate, read reading) plan {
+	a, e := ch.a, ch.e
 	parts := 1 + len(helpers)
 	context := float64(a.arrive.PromptTokens) / float64(parts)
 	writer := e.writerMS(context)
@@ -357,7 +431,8 @@
 		firstEvent = max(firstEvent, at)
 		harm += c.harm(e, h, read, true, e.writerMS(context))
 	}
-	firstEvent += firstPass
+	harm += delayLosses(helpers, read.ms)
+	firstEvent += first.load.firstStepsMS(firstPass, e.StepMS)
 	modelMS := firstEvent
 	firstEvent *= c.predictionError(a.service)
 	full := a.value
@@ -372,10 +447,7 @@
 	}
 	score := gain - harm - full*(helperCost*float64(parts-1)+c.far(first.runner))
 	score -= full * delayCost * min(1, firstEvent/max(1, ms(a.arrive.Route.TargetLatency)))
-	if parts == 1 && read.ms < a.shortMS() {
-		score += full * packing * min(1, float64(first.load.requests)/float64(max(1, first.Slots)))
-		score += full * c.scatter() * c.rng.Float64()
-	}
+	score += full * c.preference(ch, first)
 	p := plan{first: first.runner, score: score, firstEventMS: firstEvent, modelMS: modelMS, readMS: read.ms, inTime: inTime, harm: harm, gain: gain}
 	for _, h := range helpers {
 		p.helpers = append(p.helpers, h.runner)
@@ -383,6 +455,30 @@
 	return p
 }
 
+// firstStepsMS is the time from the end of the reading to the first event: the
+// rest of a pass beside other writers, one step at an engine without any.
+func (l *load) firstStepsMS(passMS, stepMS float64) float64 {
+	if l.writers+l.prompts == 0 {
+		return stepMS
+	}
+	return passMS
+}
+
+// preference is the share of a request's value by which a first target is better
+// or worse for requests to come: writers are gathered at few targets, and the
+// others read.
+func (c *Core) preference(ch *choice, first *candidate) float64 {
+	long := max(c.longShare(ch.a.service), 1-ch.used/gatherUntil)
+	if !ch.long {
+		used := float64(first.load.requests) / float64(max(1, first.Slots))
+		return packing*long*min(1, used) + c.scatter()*c.rng.Float64()
+	}
+	if first.load.writers+first.load.prompts == 0 {
+		return -openCost * long
+	}
+	return 0
+}
+
 // readBeside predicts when a prompt, or a part of one, is read at the target,
 // and the longest pass meanwhile. A pass that runs has to end first.
 func (e *Engine) readBeside(cand *candidate, r reading, part bool, stepMS float64) (readAt, worstPass float64) {
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -36,9 +36,6 @@
 const (
 	// hopeless is the chance to be in time below which a request yields.
 	hopeless = 0.15
-	// sparePlaces is the number of places that a late request leaves free at a
-	// target for those that come meanwhile.
-	sparePlaces = 2
 	// calmHarm is the share of a late request's value that others may lose by it,
 	// and calmBacklog the share of its reading that may wait before it.
 	calmHarm    = 0.05
@@ -163,8 +160,8 @@
 		return false
 	}
 	l := p.first.loadOf(e)
-	calm := l.requests+sparePlaces <= p.first.Slots
-	if p.readMS >= a.shortMS() {
+	calm := l.requests < p.first.Slots
+	if p.long {
 		calm = calm && p.harm < calmHarm*a.value && l.unread < p.readMS*calmBacklog
 	}
 	parts := max(1, len(c.candidates(a))/2)
@@ -186,7 +183,7 @@
 		return false
 	}
 	best := e.readMS(a.arrive.PromptTokens, len(pool))
-	return c.now+waitStep+fromMS(best) < a.deadline
+	return c.now+waitStep+fromMS(best) < a.firstBy()
 }
 
 // wait dispatches the request again a little later.
@@ -261,7 +258,7 @@
 		c.nextKey++
 		l := Load{
 			Target: r.ID, Key: c.nextKey, ReadMS: p.readMS, ContextTokens: context, MemoryTokens: memory,
-			MaxPauseMS: int(ms(a.arrive.Route.MaxPause)), Part: part, Value: a.value,
+			MaxPauseMS: int(ms(a.arrive.Route.MaxPause)), Part: part, Value: a.value, Request: uint64(a.arrive.Request),
 			FirstWithinMS:  int(ms(a.arrive.Route.TargetLatency - (c.now - a.arrivedAt))),
 			LeavesWithinMS: int(ms(a.firstBy() - c.now)),
 		}
--- a/internal/fleet/runner.go
+++ b/internal/fleet/runner.go
@@ -34,6 +34,9 @@
 	LeavesWithinMS int
 	// Value is what the caller loses if it is served late.
 	Value float64
+	// Request identifies the request within its instance: parts of one prompt
+	// share it.
+	Request uint64
 }
 
 // flight is a load at a target with the progress predicted for it.
--- a/internal/fleet/share.go
+++ b/internal/fleet/share.go
@@ -14,9 +14,9 @@
 	// maxShortShare is the largest share of the targets that is kept for short
 	// requests: long ones need some as well.
 	maxShortShare = 0.75
-	// longPart is the part of a short request's longest pause that a prompt may
-	// take to be read at a target kept for short requests.
-	longPart = 0.4
+	// longPart is the part of a short request's longest pause that a prompt of
+	// another kind may take to be read at a target kept for short requests.
+	longPart = 0.25
 )
 
 // short reports whether a load is that of a short request, which long reads in
