--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -72,7 +72,7 @@
 	maxBacklogMS = 350
 	// manyParts is the least number of parts of a long prompt where enough targets
 	// are free: each pass then reads little, and nobody waits long for one engine.
-	manyParts = 6
+	manyParts = 4
 	// shortShare is the largest share of the longest pause that a prompt's
 	// reading may take to count as short.
 	shortShare = 0.25
