--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -128,7 +128,6 @@
 	switch ev.End {
 	case EndComplete:
 		c.succeeded(target)
-		c.learnAnswer(a)
 		c.vacate(a)
 		c.finish(a, Finish{Code: result.Complete, PassOn: true})
 	case EndFailed:
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -48,10 +48,9 @@
 	outbox   outbox
 	budgets  map[string]*budget // by service
 	suspects map[uint64]*suspect
-	demands  map[string]*demand     // by service
-	errors   map[string]float64     // learnt, by service
-	domains  map[string]*domain     // with failures since the last success
-	answers  map[string]*answerTime // by route
+	demands  map[string]*demand // by service
+	errors   map[string]float64 // learnt, by service
+	domains  map[string]*domain // with failures since the last success
 	stopping bool
 	// Callers that come after lagEnds are taken only if they end by stopBy.
 	lagEnds, stopBy time.Duration
@@ -66,7 +65,7 @@
 		requests: make(map[RequestID]*active), attempts: make(map[AttemptID]*active),
 		turn: make(map[string]int), peers: make(map[string]*peer),
 		budgets: make(map[string]*budget), suspects: make(map[uint64]*suspect), domains: make(map[string]*domain),
-		demands: make(map[string]*demand), errors: make(map[string]float64), answers: make(map[string]*answerTime),
+		demands: make(map[string]*demand), errors: make(map[string]float64),
 		store: storeState{reachable: true},
 	}
 	return c
@@ -142,7 +141,9 @@
 	}
 	need := stopFactor * a.arrive.Route.TargetLatency
 	if e := c.engine(a); e != nil {
-		need += fromMS(e.readMS(a.arrive.PromptTokens, 1)) + c.answerWithin(a, e)
+		// Answers are of any length up to the bound; one that is cut here is lost.
+		step := e.StepMS + float64(e.Slots)*e.writerMS(float64(e.UsualPrompt))
+		need += fromMS(e.readMS(a.arrive.PromptTokens, 1) + float64(a.arrive.MaxAnswerTokens)*step)
 	}
 	return c.now+need < c.stopBy
 }
