fleet: each target is followed by its own and one guest failure domain

Change: changes of loads go to the sender's domain, the target's and the target's guest domain (rendezvous hash over the domains with instances), and requests go to targets whose loads are known; others only if there are none. Replies to a joining instance go to that one alone; messages name 8 peers instead of 64.

--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -36,6 +36,7 @@
 		placed.target.lastHeardAt = c.now
 		placed.target.markFirstEvent(c.now, placed.load)
 		c.outbox.pending.FirstEvents = append(c.outbox.pending.FirstEvents, placed.load.Key)
+		c.outbox.recordChange(placed.load.Key, placed.target)
 	}
 	c.scheduleGossip()
 }
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -46,8 +46,11 @@
 	lastKey       uint64         // numbers loads and reservation tickets
 	roundRobin    map[string]int // position of PolicyRoundRobin, by service
 
-	peers            map[string]*peer
-	outbox           outbox
+	peers                map[string]*peer
+	instanceDomains      []string // failure domains with instances, in order
+	instanceDomainsEpoch int      // incremented by each change of instanceDomains
+	outbox               outbox
+
 	retryBudgets     map[string]*retryBudget  // by service
 	brokenRuns       map[uint64]*brokenRuns   // by request fingerprint
 	demands          map[string]*demand       // by service
@@ -71,6 +74,7 @@
 		demands: make(map[string]*demand), firstEventRatios: make(map[string]float64),
 		store: storeState{reachable: true},
 	}
+	c.updateInstanceDomains()
 	return c
 }
 
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -124,8 +124,9 @@
 
 // PeerGossip delivers a gossip message from a peer.
 type PeerGossip struct {
-	From   string
-	Gossip Gossip
+	// From is the name of the peer, Domain its failure domain.
+	From, Domain string
+	Gossip       Gossip
 }
 
 // Reserved delivers a target's reply to Reserve.
@@ -207,7 +208,12 @@
 }
 
 // SendGossip sends a gossip message to the peers.
-type SendGossip struct{ Gossip Gossip }
+type SendGossip struct {
+	// Domain restricts the recipients to the peers of one failure domain, Peer to one
+	// peer by its name; empty for no restriction.
+	Domain, Peer string
+	Gossip       Gossip
+}
 
 // Count adds one to the counter with the given reason label.
 type Count struct{ Counter, Reason string }
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -14,10 +14,10 @@
 	fullGossipInterval = time.Second
 	// peerLoadTimeout is the time after which the loads of a silent peer are dropped.
 	peerLoadTimeout = 3 * fullGossipInterval
-	// MaxFullGossipPeers is the number of peers up to which every peer is sent every change.
-	// Above it, messages between failure domains would cost more than they are
-	// worth: peers in other domains are sent urgent messages only.
-	MaxFullGossipPeers = 40
+	// maxFullGossipPeers is the number of peers up to which every peer is sent every
+	// change. Above it, each target is followed by two failure domains only; see
+	// followsTarget.
+	maxFullGossipPeers = 40
 	// peerExpiry is the time after which a silent peer no longer counts among the
 	// instances that share the retry budget.
 	peerExpiry = 30 * time.Second
@@ -31,7 +31,8 @@
 	// Joining says that the sender has just started and asks the peers for their
 	// loads.
 	Joining bool
-	// Full says that Loads are all of the sender's loads.
+	// Full says that Loads are all of the sender's loads at the targets that the
+	// recipient follows.
 	Full bool
 	// Loads are new or changed loads.
 	Loads []TargetLoad
@@ -48,18 +49,13 @@
 	LeavingTargets []string
 }
 
-// Urgent reports whether the message is a full one or says more than changes of
-// loads.
-func (g *Gossip) Urgent() bool {
-	return g.Full || len(g.FailedTargets)+len(g.BrokenRuns)+len(g.LeavingTargets) > 0
-}
-
 func (g *Gossip) isEmpty() bool {
 	return !g.Full && len(g.Loads)+len(g.FirstEvents)+len(g.EndedLoads)+len(g.FailedTargets)+len(g.BrokenRuns)+len(g.LeavingTargets) == 0
 }
 
 // peer is another instance.
 type peer struct {
+	domain        string
 	lastMessageAt time.Duration
 	loads         map[uint64]placedLoad // by TargetLoad.Key
 }
@@ -71,9 +67,10 @@
 	load   *trackedLoad
 }
 
-// outbox collects the changes for the next message to the peers.
+// outbox collects the changes for the next messages to the peers.
 type outbox struct {
 	pending           Gossip
+	changedAt         map[uint64]*targetState // the targets of the changed loads, by TargetLoad.Key
 	leavingTargets    []string
 	scheduled         bool // the timer of gossipDelay is running
 	due               bool // the timer has expired
@@ -103,36 +100,77 @@
 		return
 	}
 	c.outbox.due = false
+	for _, domain := range c.gossipDomains() {
+		if g := c.pendingGossip(domain); !g.isEmpty() {
+			c.emit(SendGossip{Domain: domain, Gossip: g})
+		}
+	}
+	c.outbox.clear()
+}
+
+// clear removes the pending changes once they have been sent.
+func (o *outbox) clear() {
+	o.pending, o.leavingTargets = Gossip{}, nil
+	clear(o.changedAt)
+}
+
+// recordChange records which target a pending change of a load concerns.
+func (o *outbox) recordChange(key uint64, target *targetState) {
+	if o.changedAt == nil {
+		o.changedAt = make(map[uint64]*targetState)
+	}
+	o.changedAt[key] = target
+}
+
+// pendingGossip returns the pending changes at the targets that the domain follows,
+// and the pending warnings.
+func (c *Core) pendingGossip(domain string) Gossip {
 	g := c.outbox.pending
-	g.LeavingTargets, c.outbox.leavingTargets = c.outbox.leavingTargets, nil
-	c.outbox.pending = Gossip{}
-	if !g.isEmpty() {
-		c.emit(SendGossip{Gossip: g})
+	followed := func(key uint64) bool { return c.followsTarget(domain, c.outbox.changedAt[key]) }
+	g.Loads = selectFunc(g.Loads, func(load TargetLoad) bool { return followed(load.Key) })
+	g.FirstEvents = selectFunc(g.FirstEvents, followed)
+	g.EndedLoads = selectFunc(g.EndedLoads, followed)
+	g.LeavingTargets = c.outbox.leavingTargets
+	return g
+}
+
+// selectFunc returns the items for which keep returns true.
+func selectFunc[T any](items []T, keep func(T) bool) []T {
+	var selected []T
+	for _, item := range items {
+		if keep(item) {
+			selected = append(selected, item)
+		}
 	}
+	return selected
 }
 
-// emitFullGossip emits a message with all loads, schedules the next one, and drops
+// emitFullGossip emits messages with all loads, schedules the next ones, and drops
 // the loads of silent peers.
 func (c *Core) emitFullGossip() {
 	c.afterFunc(fullGossipInterval, c.emitFullGossip)
-	c.emit(SendGossip{Gossip: c.fullGossip()})
+	for _, domain := range c.gossipDomains() {
+		c.emit(SendGossip{Domain: domain, Gossip: c.fullGossip(domain)})
+	}
+	c.outbox.clear()
 	for name, p := range c.peers {
 		if c.now-p.lastMessageAt > peerLoadTimeout {
 			c.dropPeerLoads(p, nil)
 			if c.now-p.lastMessageAt > peerExpiry {
 				delete(c.peers, name)
+				c.updateInstanceDomains()
 			}
 		}
 	}
 }
 
-// fullGossip returns a message with all loads of this instance, and with the pending
-// warnings. It replaces the pending changes.
-func (c *Core) fullGossip() Gossip {
-	g := Gossip{Full: true}
+// fullGossip returns a message with all loads of this instance at the targets that
+// the domain follows, and with the pending warnings.
+func (c *Core) fullGossip(domain string) Gossip {
+	g := Gossip{Full: true, FailedTargets: c.outbox.pending.FailedTargets, BrokenRuns: c.outbox.pending.BrokenRuns}
 	for _, target := range c.targets {
 		for _, tracked := range target.loads {
-			if tracked.owner == "" {
+			if tracked.owner == "" && c.followsTarget(domain, target) {
 				load := tracked.TargetLoad
 				load.AgeMS = int(toMS(c.now - tracked.addedAt))
 				load.FirstEventSeen = tracked.firstEventSeen
@@ -145,8 +183,6 @@
 	}
 	slices.SortFunc(g.Loads, func(a, b TargetLoad) int { return int(int64(a.Key) - int64(b.Key)) })
 	slices.Sort(g.LeavingTargets)
-	g.FailedTargets, g.BrokenRuns = c.outbox.pending.FailedTargets, c.outbox.pending.BrokenRuns
-	c.outbox.pending, c.outbox.leavingTargets = Gossip{}, nil
 	return g
 }
 
@@ -164,13 +200,15 @@
 // it, is answered by a full message.
 func (c *Core) handlePeerGossip(ev PeerGossip) {
 	p := c.peers[ev.From]
-	if p == nil || ev.Gossip.Joining {
-		c.emit(SendGossip{Gossip: c.fullGossip()})
-	}
-	if p == nil {
-		p = &peer{loads: make(map[uint64]placedLoad)}
+	isNew := p == nil
+	if isNew {
+		p = &peer{domain: ev.Domain, loads: make(map[uint64]placedLoad)}
 		c.peers[ev.From] = p
-		c.log("peer-found", "peer", ev.From)
+		c.updateInstanceDomains()
+		c.log("peer-found", "peer", ev.From, "domain", ev.Domain)
+	}
+	if isNew || ev.Gossip.Joining {
+		c.emit(SendGossip{Peer: ev.From, Gossip: c.fullGossip(c.gossipDomainOf(p))})
 	}
 	p.lastMessageAt = c.now
 	g := &ev.Gossip
--- a/internal/fleet/placement_weights.go
+++ b/internal/fleet/placement_weights.go
@@ -40,9 +40,10 @@
 	// remoteDomainCost is the cost of a target in another failure domain, as a share
 	// of the request's value.
 	remoteDomainCost = 0.002
-	// staleDomainCost replaces remoteDomainCost if the loads in other domains are
-	// known only from the full messages, once a second.
-	staleDomainCost = 0.1
+	// guestDomainCost replaces remoteDomainCost in a large fleet, where a domain uses
+	// the targets of others only when its own are busy: their own instances choose
+	// among fewer targets than all.
+	guestDomainCost = 0.03
 	// idleTargetCost is the cost of sending a long prompt to a target that decodes
 	// nothing, as a share of the request's value if all demand is for long prompts:
 	// from then on the target's passes include decoding steps, which leaves less time
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -278,6 +278,7 @@
 		}
 		a.loads = append(a.loads, placedLoad{target, target.addLoad(c.now, "", load)})
 		c.outbox.pending.Loads = append(c.outbox.pending.Loads, load)
+		c.outbox.recordChange(load.Key, target)
 	}
 	memory, partMemory := a.memoryTokens(), 0
 	if p.needsTickets {
@@ -297,6 +298,7 @@
 	for _, placed := range a.loads {
 		placed.target.removeLoad(c.now, placed.load)
 		c.outbox.pending.EndedLoads = append(c.outbox.pending.EndedLoads, placed.load.Key)
+		c.outbox.recordChange(placed.load.Key, placed.target)
 		if placed.target.gone && len(placed.target.loads) == 0 {
 			c.deleteTarget(placed.target)
 		}
--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -60,6 +60,9 @@
 	advancedAt  time.Duration // time up to which prefill progress is predicted
 	lastHeardAt time.Duration // when it last sent anything, here or to a peer
 	health      health
+	// guest is the result of guestDomain as of guestEpoch.
+	guest      string
+	guestEpoch int
 }
 
 // addLoad adds a load that was sent by this instance or by the peer owner.
--- a/internal/fleetnode/gossip.go
+++ b/internal/fleetnode/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"strconv"
@@ -17,8 +18,9 @@
 // Limits of messages between instances.
 const (
 	maxDatagramBytes = 60 << 10 // UDP over IPv4 carries up to 65,507 bytes
-	// maxAdvertisedPeers bounds the peer addresses in one message.
-	maxAdvertisedPeers = 64
+	// maxAdvertisedPeers bounds the peer addresses in one message. They are drawn at
+	// random, so that an instance learns all of them from a few messages.
+	maxAdvertisedPeers = 8
 )
 
 // datagram is one message between instances.
@@ -98,11 +100,11 @@
 	}
 }
 
-// recipients returns the peers to send a message to, and removes expired ones.
-// In a fleet of more than fleet.MaxFullGossipPeers peers, those of other failure
-// domains receive only urgent messages, so that the number of messages does not
-// grow with the whole fleet.
-func (g *gossip) recipients(urgent bool) []netip.AddrPort {
+// recipients returns the addresses that a message is sent to, and removes expired
+// ones. Addresses that have sent no message yet, whose failure domain is unknown,
+// receive the messages with all loads for the own domain, so that both get to know
+// each other.
+func (g *gossip) recipients(m fleet.SendGossip) []netip.AddrPort {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	addresses := make([]netip.AddrPort, 0, len(g.peers))
@@ -111,21 +113,35 @@
 			delete(g.peers, a)
 			continue
 		}
-		if urgent || c.domain == g.domain || len(g.peers) <= fleet.MaxFullGossipPeers {
+		introduce := c.name == "" && m.Gossip.Full && m.Domain == g.domain
+		if introduce || (m.Domain == "" || m.Domain == c.domain) && (m.Peer == "" || m.Peer == c.name) {
 			addresses = append(addresses, a)
 		}
 	}
 	return addresses
 }
 
-// broadcast sends a message to the recipients. Writes to a UDP socket do not
-// wait for the receiver.
-func (g *gossip) broadcast(message fleet.Gossip) {
-	d := datagram{From: g.name, Domain: g.domain, FollowsStore: g.followsStore(), Gossip: message}
+// knownAddresses returns up to limit addresses of peers, drawn at random. g.mu must
+// not be held.
+func (g *gossip) knownAddresses(limit int) []netip.AddrPort {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	addresses := make([]netip.AddrPort, 0, len(g.peers))
+	for a := range g.peers {
+		addresses = append(addresses, a)
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(len(addresses), limit)]
+}
+
+// send sends a message to its recipients. Writes to a UDP socket do not wait for the
+// receiver.
+func (g *gossip) send(m fleet.SendGossip) {
+	d := datagram{From: g.name, Domain: g.domain, FollowsStore: g.followsStore(), Gossip: m.Gossip}
 	d.ConfigVersion, d.StoreRevision = g.versions()
-	peers := g.recipients(message.Urgent())
-	if message.Full {
-		d.Peers = peers[:min(len(peers), maxAdvertisedPeers)]
+	peers := g.recipients(m)
+	if m.Gossip.Full {
+		d.Peers = g.knownAddresses(maxAdvertisedPeers)
 	}
 	raw, err := cbor.Marshal(d)
 	if err != nil || len(raw) > maxDatagramBytes {
@@ -160,7 +176,7 @@
 		for _, a := range d.Peers {
 			g.addPeer(a)
 		}
-		g.onPeerLoad(fleet.PeerGossip{From: d.From, Gossip: d.Gossip})
+		g.onPeerLoad(fleet.PeerGossip{From: d.From, Domain: d.Domain, Gossip: d.Gossip})
 		g.onMessage(from, &d)
 	}
 }
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -103,7 +103,7 @@
 	i := &Instance{opts: opts, gossip: g, cancel: cancel, ctx: ctx}
 	g.versions = func() (uint64, uint64) { return 0, 0 }
 	g.followsStore = func() bool { return false }
-	messages := make(chan fleet.Gossip, maxQueuedMessages)
+	messages := make(chan fleet.SendGossip, maxQueuedMessages)
 	i.node = forward.NewNode(forward.Options{
 		Fleet: fleet.Options{
 			Name: s.Name, FailureDomain: s.FailureDomain, Policy: opts.Policy,
@@ -111,7 +111,7 @@
 			ReservationTTL: s.ReservationTTL, Seed: seedFromName(s.Name),
 		},
 		HeaderCodec: opts.HeaderCodec, MemoryReserver: opts.MemoryReserver, Log: opts.Log, Metrics: metrics,
-		SendGossip: func(m fleet.Gossip) {
+		SendGossip: func(m fleet.SendGossip) {
 			select {
 			case messages <- m:
 			default: // the next message that states all loads makes up for it
@@ -121,7 +121,7 @@
 	})
 	i.mirror = newMirror(opts.Decoder, i.node, opts.Log)
 	i.mirror.onPeerAddress = i.addPeerAddress
-	i.mirror.onChange = func() { g.broadcast(fleet.Gossip{}) }
+	i.mirror.onChange = func() { g.send(fleet.SendGossip{Domain: s.FailureDomain}) }
 	g.versions, g.followsStore = i.mirror.versions, i.followsStore
 	if i.exchange, err = listenExchange(s, i.mirror, i.followsStore, opts.Log); err != nil {
 		i.Close()
@@ -141,17 +141,17 @@
 }
 
 // maxQueuedMessages bounds the messages that wait to be sent to peers.
-const maxQueuedMessages = 64
+const maxQueuedMessages = 256
 
 // sendQueuedMessages sends queued messages to the peers until the instance is
 // closed.
-func (i *Instance) sendQueuedMessages(messages <-chan fleet.Gossip) {
+func (i *Instance) sendQueuedMessages(messages <-chan fleet.SendGossip) {
 	for {
 		select {
 		case <-i.ctx.Done():
 			return
 		case m := <-messages:
-			i.gossip.broadcast(m)
+			i.gossip.send(m)
 		}
 	}
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -73,7 +73,7 @@
 	Metrics        Metrics
 	// SendGossip sends a message to the peers; nil for an instance without peers. It
 	// must not block.
-	SendGossip func(fleet.Gossip)
+	SendGossip func(fleet.SendGossip)
 }
 
 // Node connects the decision core of one instance to callers and targets. It is
@@ -225,7 +225,7 @@
 		go n.releaseMemory(eff)
 	case fleet.SendGossip:
 		if n.opts.SendGossip != nil {
-			n.opts.SendGossip(eff.Gossip)
+			n.opts.SendGossip(eff)
 		}
 	case fleet.Count:
 		n.opts.Metrics.Add(eff.Counter, eff.Reason)
