follow: fewer calls to the store at starts, and a list after a failed watch

After a failed watch the follower watched again, so that a store that answers all calls but watches hid changes (TestRevokedKeyIsRefusedWhileWatchesStall). Change: a random delay of up to 100 ms before the first call, followers are not replaced by instances that join, changes that follow each other within 200 ms come in one watch, a list follows each failed watch, and the end of an outage is reported before the items of the response that ends it.

--- a/internal/fleetnode/gossip.go
+++ b/internal/fleetnode/gossip.go
@@ -205,17 +205,18 @@
 	followerTimeout = 2200 * time.Millisecond
 )
 
-// shouldFollow reports whether this instance has to follow the store: it does
-// if fewer than followersPerDomain peers of its failure domain do whose names
-// sort before its own.
-func (g *gossip) shouldFollow() bool {
+// shouldFollow reports whether this instance has to follow the store: it starts to
+// if fewer than followersPerDomain peers of its failure domain do, and stops if so
+// many do whose names sort before its own. A peer that joins thus replaces none.
+func (g *gossip) shouldFollow(following bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	followersBefore := 0
+	followers := 0
 	for _, c := range g.peers {
-		if c.followsStore && c.domain == g.domain && c.name < g.name && time.Since(c.lastMessageAt) < followerTimeout {
-			followersBefore++
+		counts := !following || c.name < g.name
+		if counts && c.followsStore && c.domain == g.domain && time.Since(c.lastMessageAt) < followerTimeout {
+			followers++
 		}
 	}
-	return followersBefore < followersPerDomain
+	return followers < followersPerDomain
 }
--- a/internal/fleetnode/gossip_test.go
+++ b/internal/fleetnode/gossip_test.go
@@ -45,21 +45,35 @@
 // another failure domain or falls silent.
 func TestTwoInstancesPerDomainFollowStore(t *testing.T) {
 	g := newTestGossip(0)
-	must.True(t, g.shouldFollow()) // alone
+	must.True(t, g.shouldFollow(true)) // alone
 	first := netip.MustParseAddrPort("10.0.0.1:1")
 	second := netip.MustParseAddrPort("10.0.0.2:1")
 	g.name = "front-9"
 	g.recordMessage(first, &datagram{From: "front-1", Domain: "a", FollowsStore: true})
-	must.True(t, g.shouldFollow())
+	must.True(t, g.shouldFollow(true))
 	g.recordMessage(second, &datagram{From: "front-2", Domain: "a", FollowsStore: true})
-	must.False(t, g.shouldFollow())
+	must.False(t, g.shouldFollow(true))
 	g.recordMessage(second, &datagram{From: "front-2", Domain: "a"}) // gets no responses from the store
-	must.True(t, g.shouldFollow())
+	must.True(t, g.shouldFollow(true))
 	g.recordMessage(second, &datagram{From: "front-2", Domain: "b", FollowsStore: true}) // another domain
-	must.True(t, g.shouldFollow())
+	must.True(t, g.shouldFollow(true))
 	g.recordMessage(second, &datagram{From: "front-2", Domain: "a", FollowsStore: true})
 	g.peers[second].lastMessageAt = time.Now().Add(-2 * followerTimeout)
-	must.True(t, g.shouldFollow())
+	must.True(t, g.shouldFollow(true))
+}
+
+// Instances that join with names before those of the followers must not replace
+// them: a rolling restart would make each instance list the store.
+func TestJoiningInstanceReplacesNoFollower(t *testing.T) {
+	g := newTestGossip(0)
+	g.name = "front-0"
+	for i := range followersPerDomain {
+		must.True(t, g.shouldFollow(false))
+		address := netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(i+1))
+		g.recordMessage(address, &datagram{From: fmt.Sprintf("front-%d", i+1), Domain: "a", FollowsStore: true})
+	}
+	must.False(t, g.shouldFollow(false))
+	must.True(t, g.shouldFollow(true)) // the surplus follower with the last name stops
 }
 
 // Messages to addresses without an instance must end.
--- a/internal/fleetnode/mirror.go
+++ b/internal/fleetnode/mirror.go
@@ -30,8 +30,9 @@
 
 	// onPeerAddress is called with the address of each instance in the store.
 	onPeerAddress func(address string)
-	// onChange is called after each change, so that peers learn of it at once.
-	onChange func()
+	// onList is called after each list, onChange after changes, so that peers learn
+	// of them at once.
+	onList, onChange func()
 
 	mu               sync.Mutex
 	storeReachable   bool
@@ -103,6 +104,7 @@
 	m.mu.Unlock()
 	slices.SortFunc(targets, func(a, b fleet.Target) int { return strings.Compare(a.ID, b.ID) })
 	m.node.Step(fleet.TargetList{Targets: targets})
+	m.onList()
 }
 
 // HandleChanges implements follow.Handler.
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"hash/fnv"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"runtime/debug"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -48,6 +50,10 @@
 	// configuration must be in force. A watch that stopped receiving
 	// changes is noticed only when it is renewed.
 	watchesPerConfigDelay = 3
+	// maxFollowDelay bounds the random delay between the start and the first call to
+	// follow the store. It lets the peers say that they follow it, and spreads the
+	// calls of a whole fleet that starts at once.
+	maxFollowDelay = 100 * time.Millisecond
 	// instanceKeyPrefix is the prefix of the keys under which instances store
 	// their addresses.
 	instanceKeyPrefix = "instances/"
@@ -81,6 +87,7 @@
 	exchange         *snapshotExchanger
 	callerServer     *http.Server
 	auxiliaryServers []*http.Server
+	following        atomic.Bool // this instance follows the store
 	cancel           context.CancelFunc
 	ctx              context.Context
 }
@@ -121,6 +128,7 @@
 	})
 	i.mirror = newMirror(opts.Decoder, i.node, opts.Log)
 	i.mirror.onPeerAddress = i.addPeerAddress
+	i.mirror.onList = func() { g.send(fleet.SendGossip{}) }
 	i.mirror.onChange = func() { g.send(fleet.SendGossip{Domain: s.FailureDomain}) }
 	g.versions, g.followsStore = i.mirror.versions, i.followsStore
 	if i.exchange, err = listenExchange(s, i.mirror, i.followsStore, opts.Log); err != nil {
@@ -165,16 +173,17 @@
 
 // followsStore reports whether this instance follows the store and gets
 // responses.
-func (i *Instance) followsStore() bool { return i.gossip.shouldFollow() && i.mirror.isStoreReachable() }
+func (i *Instance) followsStore() bool { return i.following.Load() && i.mirror.isStoreReachable() }
 
 // shouldFollow reports whether this instance has to follow the store. If not,
 // the peers that do pass the changes on, and the store counts as reachable.
 func (i *Instance) shouldFollow() bool {
-	if i.gossip.shouldFollow() {
-		return true
+	following := i.gossip.shouldFollow(i.following.Load())
+	i.following.Store(following)
+	if !following {
+		i.mirror.HandleStatus(true, nil)
 	}
-	i.mirror.HandleStatus(true, nil)
-	return false
+	return following
 }
 
 // startFollower follows the whole store: the configuration, the targets and the
@@ -185,7 +194,13 @@
 		Source: i.opts.Store, Handler: i.mirror, RelistAfterOutage: true, WatchTimeout: i.opts.Settings.MaxConfigDelay / watchesPerConfigDelay,
 		ShouldFollow: i.shouldFollow,
 	}
-	go f.Run(i.ctx)
+	go func() {
+		select {
+		case <-i.ctx.Done():
+		case <-time.After(rand.N(maxFollowDelay)):
+			f.Run(i.ctx)
+		}
+	}()
 	go i.announceWithRetry()
 }
 
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -34,7 +34,8 @@
 }
 
 // Handler receives the items and changes that a Follower reads. All calls come
-// from one goroutine.
+// from one goroutine. HandleStatus comes before the items of the same response, so
+// that removals around an outage can be told from others.
 type Handler interface {
 	// HandleList receives all items as of a revision.
 	HandleList(items []Item, revision uint64)
@@ -59,6 +60,10 @@
 	// relistDelay is the time from the end of an outage to a full list: by
 	// then, entries that expired during the outage have been written again.
 	relistDelay = 2200 * time.Millisecond
+	// changeBatchDelay is the time between changes and the next watch, which
+	// returns those that came meanwhile together: many keys change at once when
+	// instances or targets start.
+	changeBatchDelay = 200 * time.Millisecond
 )
 
 // Follower follows the keys below one prefix.
@@ -107,13 +112,14 @@
 				relistAt = time.Now().Add(relistDelay)
 			}
 			backoff = initialBackoff
-			f.Handler.HandleStatus(true, nil)
 			if !relistAt.IsZero() && !time.Now().Before(relistAt) {
 				listed, relistAt = false, time.Time{}
 			}
 		case errors.Is(err, ErrCompacted):
 			listed = false
 		default:
+			// If only watches fail, a list still shows the changes.
+			listed = false
 			f.Handler.HandleStatus(false, err)
 			sleep(ctx, backoff)
 			backoff = min(maxBackoff, 2*backoff)
@@ -129,6 +135,7 @@
 	if err != nil {
 		return 0, err
 	}
+	f.Handler.HandleStatus(true, nil)
 	f.Handler.HandleList(items, revision)
 	return revision, nil
 }
@@ -145,8 +152,10 @@
 	if err != nil {
 		return after, err
 	}
+	f.Handler.HandleStatus(true, nil)
 	if len(items) > 0 {
 		f.Handler.HandleChanges(items, revision)
+		sleep(ctx, changeBatchDelay)
 	}
 	return max(after, revision), nil
 }
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,12 +45,18 @@
 	listed    int
 	changed   []Item
 	reachable []bool
+	// reachableAtFirstList reports whether HandleStatus(true) came before the first
+	// list.
+	reachableAtFirstList bool
 }
 
 func (r *recorder) HandleList([]Item, uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.listed++
+	if r.listed == 1 {
+		r.reachableAtFirstList = len(r.reachable) > 0 && r.reachable[0]
+	}
 }
 
 func (r *recorder) HandleChanges(items []Item, _ uint64) {
@@ -168,3 +175,40 @@
 	mu.Unlock()
 	eventually(t, 2*time.Second, func() bool { return rec.listCount() == 1 })
 }
+
+// When hundreds of instances or targets start, their keys change one by one. A watch
+// for each change would exceed the call rate of the store.
+func TestChangesInQuickSuccessionTakeFewWatches(t *testing.T) {
+	var watches atomic.Int64
+	store := &fakeStore{changes: func(ctx context.Context, after uint64) ([]Item, uint64, error) {
+		watches.Add(1)
+		sleep(ctx, 2*time.Millisecond) // the next change
+		return []Item{{Key: "a", Revision: after + 1}}, after + 1, nil
+	}}
+	rec := &recorder{}
+	startFollower(t, &Follower{Source: store, Handler: rec, WatchTimeout: time.Second})
+	sleep(t.Context(), 5*changeBatchDelay)
+	must.LessEq(t, 6, watches.Load())
+	must.GreaterEq(t, 2, rec.changeCount())
+}
+
+// If the store answers all calls but watches, changes are found by lists.
+func TestFailedWatchIsFollowedByAList(t *testing.T) {
+	store := &fakeStore{changes: func(context.Context, uint64) ([]Item, uint64, error) {
+		return nil, 0, errors.New("no response")
+	}}
+	rec := &recorder{}
+	startFollower(t, &Follower{Source: store, Handler: rec, WatchTimeout: time.Second})
+	eventually(t, 2*time.Second, func() bool { return rec.listCount() >= 3 })
+}
+
+// Entries that expired during an outage are missing from the list that ends it. They
+// are no deaths, so the end of the outage has to be reported first.
+func TestStatusIsReportedBeforeItems(t *testing.T) {
+	rec := &recorder{}
+	startFollower(t, &Follower{Source: &fakeStore{}, Handler: rec, WatchTimeout: time.Second})
+	eventually(t, time.Second, func() bool { return rec.listCount() == 1 })
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	must.True(t, rec.reachableAtFirstList)
+}
