fleet: an answer to a joining instance repeats no broken runs

Found by reading: since such answers go to one peer, the pending warnings stay for the next message to all, and the peer would have counted each broken run twice towards the quarantine of a request. The test fails without the change.

--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -15,8 +15,8 @@
 	// peerLoadTimeout is the time after which the loads of a silent peer are dropped.
 	peerLoadTimeout = 3 * fullGossipInterval
 	// maxFullGossipPeers is the number of peers up to which every peer is sent every
-	// change. Above it, each target is followed by two failure domains only; see
-	// followsTarget.
+	// change. Above it, the loads at a target are known in two failure domains
+	// only; see followsLoads.
 	maxFullGossipPeers = 40
 	// peerExpiry is the time after which a silent peer no longer counts among the
 	// instances that share the retry budget.
@@ -126,10 +126,10 @@
 // and the pending warnings.
 func (c *Core) pendingGossip(domain string) Gossip {
 	g := c.outbox.pending
-	followed := func(key uint64) bool { return c.followsTarget(domain, c.outbox.changedAt[key]) }
-	g.Loads = selectFunc(g.Loads, func(load TargetLoad) bool { return followed(load.Key) })
-	g.FirstEvents = selectFunc(g.FirstEvents, followed)
-	g.EndedLoads = selectFunc(g.EndedLoads, followed)
+	told := func(key uint64) bool { return c.isTold(domain, c.outbox.changedAt[key]) }
+	g.Loads = selectFunc(g.Loads, func(load TargetLoad) bool { return told(load.Key) })
+	g.FirstEvents = selectFunc(g.FirstEvents, told)
+	g.EndedLoads = selectFunc(g.EndedLoads, told)
 	g.LeavingTargets = c.outbox.leavingTargets
 	return g
 }
@@ -150,7 +150,9 @@
 func (c *Core) emitFullGossip() {
 	c.afterFunc(fullGossipInterval, c.emitFullGossip)
 	for _, domain := range c.gossipDomains() {
-		c.emit(SendGossip{Domain: domain, Gossip: c.fullGossip(domain)})
+		g := c.fullGossip(domain)
+		g.FailedTargets, g.BrokenRuns = c.outbox.pending.FailedTargets, c.outbox.pending.BrokenRuns
+		c.emit(SendGossip{Domain: domain, Gossip: g})
 	}
 	c.outbox.clear()
 	for name, p := range c.peers {
@@ -165,12 +167,12 @@
 }
 
 // fullGossip returns a message with all loads of this instance at the targets that
-// the domain follows, and with the pending warnings.
+// the domain follows, and with the leaving targets.
 func (c *Core) fullGossip(domain string) Gossip {
-	g := Gossip{Full: true, FailedTargets: c.outbox.pending.FailedTargets, BrokenRuns: c.outbox.pending.BrokenRuns}
+	g := Gossip{Full: true}
 	for _, target := range c.targets {
 		for _, tracked := range target.loads {
-			if tracked.owner == "" && c.followsTarget(domain, target) {
+			if tracked.owner == "" && c.isTold(domain, target) {
 				load := tracked.TargetLoad
 				load.AgeMS = int(toMS(c.now - tracked.addedAt))
 				load.FirstEventSeen = tracked.firstEventSeen
--- a/internal/fleet/sharing.go
+++ b/internal/fleet/sharing.go
@@ -43,9 +43,9 @@
 	return domain == allDomains || domain == target.FailureDomain || domain == c.guestDomain(target)
 }
 
-// followsTarget reports whether the instances of a domain are told about the loads
+// isTold reports whether the instances of a domain are told about the loads
 // of this instance at a target. Those of its own domain are told about all.
-func (c *Core) followsTarget(domain string, target *targetState) bool {
+func (c *Core) isTold(domain string, target *targetState) bool {
 	return domain == c.opts.FailureDomain || c.followsLoads(domain, target)
 }
 
--- a/internal/fleet/sharing_test.go
+++ b/internal/fleet/sharing_test.go
@@ -149,7 +149,7 @@
 	for _, domain := range largeFleetDomains {
 		want := 0
 		for _, target := range h.core.targets {
-			if h.core.followsTarget(domain, target) {
+			if h.core.isTold(domain, target) {
 				want += len(target.loads)
 			}
 		}
@@ -167,3 +167,20 @@
 	must.Eq(t, "peer-b-3", h.gossips[0].Peer)
 	must.True(t, h.gossips[0].Gossip.Full)
 }
+
+// Each broken run counts towards the quarantine of a request, so an answer to an
+// instance that starts must not repeat those that the next message to all reports.
+func TestAnswerToJoiningInstanceRepeatsNoBrokenRuns(t *testing.T) {
+	h := newLargeFleet(t, 16, 8)
+	id := h.submit(routeShort, 3000)
+	h.step(AttemptEnd{Attempt: h.lastSend(id).Attempt, Outcome: OutcomeBroken})
+	h.step(PeerGossip{From: "peer-b-3", Domain: "b", Gossip: Gossip{Joining: true, Full: true}})
+	h.advance(2 * fullGossipInterval)
+	reported := 0
+	for _, g := range h.gossips {
+		if g.Peer == "peer-b-3" || g.Domain == "b" {
+			reported += len(g.Gossip.BrokenRuns)
+		}
+	}
+	must.Eq(t, 1, reported)
+}
