--- a/internal/fleetnode/exchange.go
+++ b/internal/fleetnode/exchange.go
@@ -151,6 +151,6 @@
 			x.mirror.addPeerTargets(snap.Targets)
 			return
 		}
-		x.mirror.HandleList(snap.Targets, snap.Revision)
+		x.mirror.applyList(snap.Targets, snap.Revision)
 	}
 }
--- /dev/null
+++ b/internal/fleetnode/exchange_test.go
@@ -0,0 +1,55 @@
+package fleetnode
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/shoenig/test/must"
+
+	"github.com/medlardeck/medlardeck/internal/fleet"
+	"github.com/medlardeck/medlardeck/internal/follow"
+	"github.com/medlardeck/medlardeck/internal/forward"
+)
+
+// noMetrics discards all metrics.
+type noMetrics struct{}
+
+func (noMetrics) Add(string, string)                    {}
+func (noMetrics) Observe(string, string, time.Duration) {}
+
+// newTestMirror returns a mirror that counts its announcements. The store's items
+// are targets named by their keys.
+func newTestMirror(t *testing.T, announced *int) *mirror {
+	t.Helper()
+	node := forward.NewNode(forward.Options{Fleet: fleet.Options{RetryWindow: time.Second}, Log: logr.Discard(), Metrics: noMetrics{}})
+	t.Cleanup(node.Close)
+	decoder := Decoder{
+		TargetsPrefix: "t/", TargetID: func(key string) string { return key },
+		Target: func(key string, _ []byte) (fleet.Target, error) { return fleet.Target{ID: key}, nil },
+	}
+	m := newMirror(decoder, node, logr.Discard())
+	m.onList = func() { *announced++ }
+	m.onChange = func() { *announced++ }
+	return m
+}
+
+// Each instance that reads a change from a peer would otherwise announce it to all:
+// a change would cost as many messages as the square of the fleet.
+func TestTargetsFromPeerAreNotAnnouncedAgain(t *testing.T) {
+	var readerAnnounced, followerAnnounced int
+	follower, reader := newTestMirror(t, &followerAnnounced), newTestMirror(t, &readerAnnounced)
+	follower.HandleList([]follow.Item{{Key: "t/1", Revision: 7}}, 7)
+	must.Eq(t, 1, followerAnnounced)
+
+	settings := &Settings{IP: "127.0.0.1"}
+	exchange, err := listenExchange(settings, follower, func() bool { return true }, logr.Discard())
+	must.NoError(t, err)
+	t.Cleanup(func() { must.NoError(t, exchange.listener.Close()) })
+	client := &snapshotExchanger{mirror: reader, log: logr.Discard()}
+	client.fetchSnapshot(netip.MustParseAddrPort(exchange.listener.Addr().String()), KnownVersions{}, true)
+	_, revision := reader.versions()
+	must.Eq(t, 7, revision)
+	must.Eq(t, 0, readerAnnounced)
+}
--- a/internal/fleetnode/mirror.go
+++ b/internal/fleetnode/mirror.go
@@ -30,8 +30,8 @@
 
 	// onPeerAddress is called with the address of each instance in the store.
 	onPeerAddress func(address string)
-	// onList is called after each list, onChange after changes, so that peers learn
-	// of them at once.
+	// onList is called after each list of the store, onChange after changes, so that
+	// peers learn of them at once.
 	onList, onChange func()
 
 	mu               sync.Mutex
@@ -85,8 +85,15 @@
 // reappear.
 const settleDuration = 2200 * time.Millisecond
 
-// HandleList implements follow.Handler.
+// HandleList implements follow.Handler. Peers are told of the new versions.
 func (m *mirror) HandleList(items []follow.Item, revision uint64) {
+	m.applyList(items, revision)
+	m.onList()
+}
+
+// applyList replaces the targets by those of a list of the store, which this instance
+// or a peer has read.
+func (m *mirror) applyList(items []follow.Item, revision uint64) {
 	var targets []fleet.Target
 	listed := make(map[string]follow.Item)
 	for _, item := range items {
@@ -104,7 +111,6 @@
 	m.mu.Unlock()
 	slices.SortFunc(targets, func(a, b fleet.Target) int { return strings.Compare(a.ID, b.ID) })
 	m.node.Step(fleet.TargetList{Targets: targets})
-	m.onList()
 }
 
 // HandleChanges implements follow.Handler.
