fleet: a resumed attempt has patience of its own

Found by reading: the limit by the caller's patience ran from the last event, so that on routes with three attempts or more an attempt that resumed a stream was given up as soon as it was sent. On the platform's routes, with two attempts, nothing changes. The test fails without the change.

--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -87,10 +87,15 @@
 	}
 }
 
-// patienceLimit is the time at which callerPatienceShare of the caller's patience with
-// the present silence is used up.
+// patienceLimit is the time at which the current attempt, if it stays silent, has used
+// up callerPatienceShare of the patience that the caller had left for it. A caller that
+// is more patient than its route says sets no limit.
 func (a *activeRequest) patienceLimit() time.Duration {
-	return a.lastEventAt + time.Duration(callerPatienceShare*float64(a.callerLeavesAt()-a.lastEventAt))
+	begin, leavesAt := max(a.sentAt, a.lastEventAt), a.callerLeavesAt()
+	if leavesAt <= begin {
+		return a.deadline
+	}
+	return begin + time.Duration(callerPatienceShare*float64(leavesAt-begin))
 }
 
 // expectedSilence is how long a healthy target may send nothing to any caller: the
--- a/internal/fleet/request_test.go
+++ b/internal/fleet/request_test.go
@@ -275,3 +275,18 @@
 	}
 	must.Greater(t, 10, domains["b"])
 }
+
+// A stream that moves twice: the time that the caller spent waiting at the first silent
+// target must not count against the second, which would be given up at once.
+func TestResumedAttemptHasPatienceOfItsOwn(t *testing.T) {
+	h := newHarness(t, 3)
+	h.config.Routes[routeShort].MaxAttempts = 3
+	id := h.submit(routeShort, 3000)
+	h.step(Progress{Attempt: h.lastSend(id).Attempt, EventID: "1"})
+	h.advance(1300 * time.Millisecond)
+	must.Eq(t, 2, h.sendCount(id))
+	h.advance(200 * time.Millisecond)
+	must.Eq(t, 2, h.sendCount(id))
+	h.advance(400 * time.Millisecond)
+	must.Eq(t, 3, h.sendCount(id))
+}
