fleet: broken runs name their prompt parts, and their target is checked

The logs could not tell requests that share a part of their prompts from unrelated ends of engines: they named no parts, and a broken connection looked the same whether the engine had ended or only the connection was reset.

The platform's adapter reads the shared parts of a prompt. No decision depends on either yet.

--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -183,6 +183,7 @@
 		c.handleNotRun(a, ev)
 	case OutcomeBroken:
 		c.recordTargetFailure(a, true)
+		c.checkBrokenRun(a)
 		c.removeAttemptLoads(a)
 		a.attemptsRun++
 		c.recordBrokenRun(a.arrival.Fingerprint)
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -51,11 +51,12 @@
 	instanceDomainsEpoch int      // incremented by each change of instanceDomains
 	outbox               outbox
 
-	retryBudgets     map[string]*retryBudget  // by service
-	brokenRuns       map[uint64]*brokenRuns   // by request fingerprint
-	demands          map[string]*demand       // by service
-	firstEventRatios map[string]float64       // see firstEventRatio, by service
-	domains          map[string]*domainHealth // failure domains that failed since their last success
+	retryBudgets     map[string]*retryBudget      // by service
+	brokenRuns       map[uint64]*brokenRuns       // by request fingerprint
+	targetChecks     map[incarnation]*targetCheck // of targets with broken runs
+	demands          map[string]*demand           // by service
+	firstEventRatios map[string]float64           // see firstEventRatio, by service
+	domains          map[string]*domainHealth     // failure domains that failed since their last success
 	stopping         bool
 	// During a stop, a request that arrives after admitAllUntil is admitted only if
 	// it is expected to end by stopDeadline.
@@ -71,7 +72,7 @@
 		requests: make(map[RequestID]*activeRequest), attempts: make(map[AttemptID]*activeRequest),
 		roundRobin: make(map[string]int), peers: make(map[string]*peer),
 		retryBudgets: make(map[string]*retryBudget), brokenRuns: make(map[uint64]*brokenRuns), domains: make(map[string]*domainHealth),
-		demands: make(map[string]*demand), firstEventRatios: make(map[string]float64),
+		targetChecks: make(map[incarnation]*targetCheck), demands: make(map[string]*demand), firstEventRatios: make(map[string]float64),
 		store: storeState{reachable: true},
 	}
 	c.updateInstanceDomains()
@@ -112,6 +113,8 @@
 		c.handleCallerLeft(ev)
 	case Reserved:
 		c.handleReserved(ev)
+	case TargetChecked:
+		c.handleTargetChecked(ev)
 	case PeerGossip:
 		c.handlePeerGossip(ev)
 	case Stop:
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -75,6 +75,8 @@
 	ResumeAfter string
 	// Fingerprint is a hash of route, caller and body.
 	Fingerprint uint64
+	// SharedParts identify the parts of the prompt that other requests may share.
+	SharedParts []uint64
 }
 
 // Progress reports that a whole event of the answer was forwarded to the caller.
@@ -138,6 +140,29 @@
 	Cause   string
 }
 
+// CheckResult is the result of connecting to a target.
+type CheckResult uint8
+
+// Results of connecting to a target.
+const (
+	// CheckAccepted means that the target accepts connections.
+	CheckAccepted CheckResult = iota
+	// CheckRefused means that nothing listens at the address: the target has ended.
+	CheckRefused
+	// CheckUnreachable means that there was no reply; a cut may separate the two.
+	CheckUnreachable
+)
+
+var checkResultNames = [...]string{"accepted", "refused", "unreachable"}
+
+func (r CheckResult) String() string { return checkResultNames[r] }
+
+// TargetChecked delivers the result of CheckTarget.
+type TargetChecked struct {
+	Target Target
+	Result CheckResult
+}
+
 // Tick only advances the time, to run the timers that are due.
 type Tick struct{}
 
@@ -207,6 +232,9 @@
 	Ticket string
 }
 
+// CheckTarget asks whether a target still accepts connections.
+type CheckTarget struct{ Target Target }
+
 // SendGossip sends a gossip message to the peers.
 type SendGossip struct {
 	// Domain restricts the recipients to the peers of one failure domain, Peer to one
@@ -241,15 +269,17 @@
 func (CallerLeft) fleetEvent()        {}
 func (PeerGossip) fleetEvent()        {}
 func (Reserved) fleetEvent()          {}
+func (TargetChecked) fleetEvent()     {}
 func (Tick) fleetEvent()              {}
 func (Stop) fleetEvent()              {}
 
-func (Send) fleetEffect()       {}
-func (Cancel) fleetEffect()     {}
-func (Finish) fleetEffect()     {}
-func (Reserve) fleetEffect()    {}
-func (Release) fleetEffect()    {}
-func (SendGossip) fleetEffect() {}
-func (Count) fleetEffect()      {}
-func (Observe) fleetEffect()    {}
-func (Log) fleetEffect()        {}
+func (Send) fleetEffect()        {}
+func (Cancel) fleetEffect()      {}
+func (Finish) fleetEffect()      {}
+func (Reserve) fleetEffect()     {}
+func (Release) fleetEffect()     {}
+func (CheckTarget) fleetEffect() {}
+func (SendGossip) fleetEffect()  {}
+func (Count) fleetEffect()       {}
+func (Observe) fleetEffect()     {}
+func (Log) fleetEffect()         {}
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/medlardeck/medlardeck/internal/fleet"
 )
 
 // Timeouts and limits of connections to targets.
@@ -76,6 +78,15 @@
 			return c, nil
 		}
 	}
+	c, err := dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c, br: bufio.NewReaderSize(c, connBufferBytes), targetKey: key, maxIdle: maxIdleTime}, nil
+}
+
+// dial connects to a target.
+func dial(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: connectTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
 	}, Control: setUnackedTimeout}
@@ -83,7 +94,22 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to target at %q: %w", address, err)
 	}
-	return &conn{Conn: c, br: bufio.NewReaderSize(c, connBufferBytes), targetKey: key, maxIdle: maxIdleTime}, nil
+	return c, nil
+}
+
+// checkTarget connects to a target and reports the result to the decision core.
+func (n *Node) checkTarget(check fleet.CheckTarget) {
+	result := fleet.CheckAccepted
+	c, err := dial(n.ctx, check.Target.Address)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		result = fleet.CheckRefused
+	case err != nil:
+		result = fleet.CheckUnreachable
+	default:
+		_ = c.Close()
+	}
+	n.Step(fleet.TargetChecked{Target: check.Target, Result: result})
 }
 
 // setUnackedTimeout sets TCP_USER_TIMEOUT on a socket.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -26,6 +26,8 @@
 	// PromptTokens and MaxAnswerTokens are zero if the request does not state
 	// them.
 	PromptTokens, MaxAnswerTokens int
+	// SharedParts identify the parts of the prompt that other requests may share.
+	SharedParts []uint64
 }
 
 // ResponseMetadata is the metadata in the headers of a target's response.
@@ -223,6 +225,8 @@
 		go n.reserveMemory(eff)
 	case fleet.Release:
 		go n.releaseMemory(eff)
+	case fleet.CheckTarget:
+		go n.checkTarget(eff)
 	case fleet.SendGossip:
 		if n.opts.SendGossip != nil {
 			n.opts.SendGossip(eff)
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -63,7 +63,7 @@
 	}
 	n.submitRequest(fleet.RequestArrived{
 		ID: metadata.ID, Route: route, Config: config, Caller: caller,
-		PromptTokens: metadata.PromptTokens, MaxAnswerTokens: metadata.MaxAnswerTokens,
+		PromptTokens: metadata.PromptTokens, MaxAnswerTokens: metadata.MaxAnswerTokens, SharedParts: metadata.SharedParts,
 		ResumeAfter: x.lastEventID, Fingerprint: fingerprint(r, metadata.APIKey, body),
 	}, timeLeft, x)
 	defer context.AfterFunc(r.Context(), func() { n.Step(fleet.CallerLeft{Request: x.requestID}) })()
--- a/internal/simulate/simulate.go
+++ b/internal/simulate/simulate.go
@@ -211,6 +211,14 @@
 			delete(g.reservations, eff.Ticket)
 			g.startPass()
 		})
+	case fleet.CheckTarget:
+		s.schedule(2*s.networkDelay(in.domain, eff.Target.FailureDomain), func() {
+			result := fleet.CheckAccepted
+			if s.engines[eff.Target.ID].crashed {
+				result = fleet.CheckRefused
+			}
+			in.handleEvent(fleet.TargetChecked{Target: eff.Target, Result: result})
+		})
 	case fleet.SendGossip:
 		for _, peer := range s.instances {
 			if peer != in && (eff.Domain == "" || eff.Domain == peer.domain) && (eff.Peer == "" || eff.Peer == peer.name) {
