--- /dev/null
+++ b/internal/fleet/crash_world_test.go
@@ -0,0 +1,384 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/medlardeck/medlardeck/internal/timers"
+)
+
+// Timing of a crash world. stableWindow is the time that a fleet has to learn
+// something in.
+const (
+	worldHop         = time.Millisecond
+	worldPrefill     = 100 * time.Millisecond
+	worldEvent       = 90 * time.Millisecond
+	worldRestart     = 3 * time.Second
+	worldEntryExpiry = 3600 * time.Millisecond
+	worldStall       = 1500 * time.Millisecond
+	stableWindow     = 3 * time.Second
+)
+
+// crashWorld drives the cores of several instances on one virtual clock against
+// targets that end when they begin to answer a request with a crashing part.
+type crashWorld struct {
+	t         *testing.T
+	rng       *rand.Rand
+	now       time.Duration
+	queue     timers.Queue
+	config    *Config
+	instances []*worldInstance
+	targets   []*worldTarget
+	// lossRate is the share of the messages between instances that is lost.
+	lossRate float64
+	// crashing are the parts that crash targets now.
+	crashing map[uint64]bool
+	cut      string // failure domain that is separated from the others
+	crashes  map[uint64][]time.Duration
+	// reached are the times at which requests with a part reached targets.
+	reached  map[uint64][]time.Duration
+	requests []*worldRequest
+	refusals int // of requests without a crashing part, by quarantine
+}
+
+type worldInstance struct {
+	world    *crashWorld
+	name     string
+	domain   string
+	core     *Core
+	timerAt  time.Duration
+	lastID   RequestID
+	requests map[RequestID]*worldRequest
+	runs     map[AttemptID]*worldRun
+	down     bool
+}
+
+type worldTarget struct {
+	Target
+	slot, starts int
+	down         bool
+	runs         []*worldRun
+}
+
+type worldRequest struct {
+	route, prompt int
+	parts         []uint64
+	sentAt        time.Duration
+	sends         int
+	began         bool // at the first attempt
+	finish        *Finish
+}
+
+type worldRun struct {
+	instance *worldInstance
+	attempt  AttemptID
+	request  *worldRequest
+	target   *worldTarget
+	helpers  []*worldTarget
+	ended    bool
+}
+
+func newCrashWorld(t *testing.T, seed uint64, instances, targets int) *crashWorld {
+	t.Helper()
+	w := &crashWorld{
+		t: t, rng: rand.New(rand.NewPCG(seed, 9)), config: newHarness(t, 0).config, crashing: make(map[uint64]bool),
+		crashes: make(map[uint64][]time.Duration), reached: make(map[uint64][]time.Duration),
+	}
+	for i := range targets {
+		w.targets = append(w.targets, &worldTarget{slot: i})
+		w.startTarget(w.targets[i])
+	}
+	for range instances {
+		w.addInstance()
+	}
+	return w
+}
+
+func (w *crashWorld) domain(i int) string { return string(rune('a' + i%3)) }
+
+// addInstance starts a further instance.
+func (w *crashWorld) addInstance() {
+	w.instances = append(w.instances, nil)
+	w.startInstance(len(w.instances) - 1)
+}
+
+// startInstance starts an instance, or starts it again with nothing in memory.
+func (w *crashWorld) startInstance(i int) {
+	if former := w.instances[i]; former != nil {
+		former.down = true
+		for _, run := range former.runs {
+			run.end()
+		}
+	}
+	in := &worldInstance{
+		world: w, timerAt: -1, name: fmt.Sprintf("front-%03d", i), domain: w.domain(i),
+		requests: make(map[RequestID]*worldRequest), runs: make(map[AttemptID]*worldRun),
+	}
+	w.instances[i] = in
+	in.core = New(Options{
+		Name: in.name, FailureDomain: in.domain, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
+		ReservationTTL: 3 * time.Second, Seed: in.world.rng.Uint64(),
+	})
+	in.step(Configure{in.world.config})
+	for _, target := range in.world.targets {
+		if !target.down {
+			in.step(TargetListed{target.Target})
+		}
+	}
+}
+
+// startTarget starts a target again as another incarnation at the same address.
+func (w *crashWorld) startTarget(target *worldTarget) {
+	target.starts++
+	target.down, target.runs = false, nil
+	target.Target = Target{
+		ID: fmt.Sprintf("t%d-%d", target.slot, target.starts), Service: "pool", Address: fmt.Sprintf("10.0.0.%d:1", target.slot),
+		FailureDomain: w.domain(target.slot), Slots: 16, StartedMS: w.now.Milliseconds() + 1,
+	}
+	for _, in := range w.instances {
+		in.step(TargetListed{target.Target})
+	}
+}
+
+func (w *crashWorld) after(d time.Duration, fn func()) { w.queue.Set(w.now+d, fn) }
+
+// runUntil advances the virtual clock.
+func (w *crashWorld) runUntil(end time.Duration) {
+	for {
+		at, ok := w.queue.Next()
+		if !ok || at > end {
+			w.now = end
+			return
+		}
+		w.now = max(w.now, at)
+		w.queue.Run(w.now)
+	}
+}
+
+func (in *worldInstance) step(ev Event) {
+	if in.down {
+		return
+	}
+	for _, eff := range in.core.Step(in.world.now, ev) {
+		in.execute(eff)
+	}
+	if at, ok := in.core.NextTimer(); ok && (in.timerAt < 0 || at < in.timerAt) {
+		in.timerAt = at
+		in.world.queue.Set(at, func() {
+			if in.timerAt == at {
+				in.timerAt = -1
+				in.step(Tick{})
+			}
+		})
+	}
+}
+
+func (in *worldInstance) execute(eff Effect) {
+	w := in.world
+	switch eff := eff.(type) {
+	case Send:
+		in.send(eff)
+	case Cancel:
+		if run := in.runs[eff.Attempt]; run != nil {
+			run.end()
+		}
+	case Finish:
+		r := in.requests[eff.Request]
+		r.finish = &eff
+		if eff.Code.String() == "quarantined" && !w.carriesCrashingPart(r) {
+			w.refusals++
+		}
+	case Reserve:
+		w.after(worldHop, func() { in.step(Reserved{Request: eff.Request, Target: eff.Target.ID, Granted: true}) })
+	case CheckTarget:
+		target := w.target(eff.Target)
+		w.after(2*worldHop, func() { in.step(TargetChecked{eff.Target, w.checkResult(in, target)}) })
+	case SendGossip:
+		for _, peer := range w.instances {
+			if peer == in || eff.Domain != "" && eff.Domain != peer.domain || eff.Peer != "" && eff.Peer != peer.name ||
+				w.separated(in.domain, peer.domain) || w.rng.Float64() < w.lossRate {
+				continue
+			}
+			w.after(worldHop, func() { peer.step(PeerGossip{From: in.name, Domain: in.domain, Gossip: eff.Gossip}) })
+		}
+	}
+}
+
+func (w *crashWorld) separated(a, b string) bool { return a != b && (a == w.cut || b == w.cut) }
+
+// target returns the world's target for an incarnation, or nil if it has ended.
+func (w *crashWorld) target(t Target) *worldTarget {
+	i := slices.IndexFunc(w.targets, func(target *worldTarget) bool { return target.ID == t.ID })
+	if i < 0 {
+		return nil
+	}
+	return w.targets[i]
+}
+
+func (w *crashWorld) checkResult(in *worldInstance, target *worldTarget) CheckResult {
+	switch {
+	case target == nil || target.down:
+		return CheckRefused
+	case w.separated(in.domain, target.FailureDomain):
+		return CheckUnreachable
+	}
+	return CheckAccepted
+}
+
+func (w *crashWorld) carriesCrashingPart(r *worldRequest) bool {
+	return slices.ContainsFunc(r.parts, func(part uint64) bool { return w.crashes[part] != nil || w.crashing[part] })
+}
+
+// submit sends a request to an instance.
+func (in *worldInstance) submit(route, prompt int, parts ...uint64) *worldRequest {
+	r := &worldRequest{route: route, prompt: prompt, parts: parts, sentAt: in.world.now}
+	in.world.requests = append(in.world.requests, r)
+	in.lastID++
+	in.requests[in.lastID] = r
+	in.step(RequestArrived{
+		Request: in.lastID, Route: &in.world.config.Routes[route], Config: in.world.config,
+		Deadline: in.world.now + in.world.config.Routes[route].Timeout, PromptTokens: prompt, MaxAnswerTokens: 400,
+		Fingerprint: in.world.rng.Uint64(), SharedParts: parts,
+	})
+	return r
+}
+
+func (in *worldInstance) send(s Send) {
+	w := in.world
+	r := in.requests[s.Request]
+	r.sends++
+	run := &worldRun{instance: in, attempt: s.Attempt, request: r, target: w.target(s.Target)}
+	for _, h := range s.Helpers {
+		run.helpers = append(run.helpers, w.target(Target{ID: h.Target}))
+	}
+	in.runs[s.Attempt] = run
+	w.after(worldHop, func() { run.arrive() })
+}
+
+func (run *worldRun) end() {
+	run.ended = true
+	if run.target != nil {
+		run.target.runs = slices.DeleteFunc(run.target.runs, func(other *worldRun) bool { return other == run })
+	}
+}
+
+func (run *worldRun) report(outcome AttemptOutcome) {
+	run.end()
+	run.instance.world.after(worldHop, func() { run.instance.step(AttemptEnd{Attempt: run.attempt, Outcome: outcome}) })
+}
+
+// arrive begins a run, which reads its prompt first.
+func (run *worldRun) arrive() {
+	w := run.instance.world
+	if run.ended {
+		return
+	}
+	if result := w.checkResult(run.instance, run.target); result != CheckAccepted {
+		run.report(OutcomeNotConnected)
+		return
+	}
+	for _, part := range run.request.parts {
+		w.reached[part] = append(w.reached[part], w.now)
+	}
+	run.target.runs = append(run.target.runs, run)
+	w.after(worldPrefill+time.Duration(w.rng.Int64N(int64(worldPrefill))), run.begin)
+}
+
+// begin begins the answer. It ends the target if the prompt has a crashing part.
+func (run *worldRun) begin() {
+	w := run.instance.world
+	if run.ended {
+		return
+	}
+	run.request.began = run.request.began || run.request.sends == 1
+	culprit := false
+	for _, part := range run.request.parts {
+		if w.crashing[part] {
+			w.crashes[part] = append(w.crashes[part], w.now)
+			culprit = true
+		}
+	}
+	if culprit {
+		w.endTarget(run.target)
+		return
+	}
+	run.sendEvent(1)
+}
+
+func (run *worldRun) sendEvent(id int) {
+	w := run.instance.world
+	if run.ended {
+		return
+	}
+	w.after(worldHop, func() { run.instance.step(Progress{Attempt: run.attempt, EventID: fmt.Sprint(id)}) })
+	if id == 12 {
+		run.report(OutcomeComplete)
+		return
+	}
+	w.after(worldEvent, func() { run.sendEvent(id + 1) })
+}
+
+// endTarget ends a target and breaks all its runs. Runs that it helps break when their
+// own target notices.
+func (w *crashWorld) endTarget(target *worldTarget) {
+	target.down = true
+	w.resetRuns(target)
+	for _, other := range w.targets {
+		for _, run := range slices.Clone(other.runs) {
+			if slices.Contains(run.helpers, target) {
+				w.after(worldStall, func() {
+					if !run.ended {
+						run.report(OutcomeBroken)
+					}
+				})
+			}
+		}
+	}
+	id := target.ID
+	w.after(worldEntryExpiry, func() {
+		for _, in := range w.instances {
+			in.step(TargetRemoved{id})
+		}
+	})
+	w.after(worldRestart, func() { w.startTarget(target) })
+}
+
+// resetRuns breaks the connections of all runs at a target.
+func (w *crashWorld) resetRuns(target *worldTarget) {
+	for _, run := range slices.Clone(target.runs) {
+		run.report(OutcomeBroken)
+	}
+}
+
+// reachedLate counts the requests with a part that reached targets later than
+// stableWindow after its fifth crash.
+func (w *crashWorld) reachedLate(part uint64) int {
+	if len(w.crashes[part]) < 5 {
+		return 0
+	}
+	late := 0
+	for _, at := range w.reached[part] {
+		if at > w.crashes[part][4]+stableWindow {
+			late++
+		}
+	}
+	return late
+}
+
+// beganShare is the share of the sound requests sent in a span whose first attempt
+// began.
+func (w *crashWorld) beganShare(from, to time.Duration, match func(*worldRequest) bool) float64 {
+	began, total := 0, 0
+	for _, r := range w.requests {
+		if r.sentAt >= from && r.sentAt < to && !w.carriesCrashingPart(r) && match(r) {
+			total++
+			if r.began {
+				began++
+			}
+		}
+	}
+	return float64(began) / float64(max(1, total))
+}
