fleet: requests that crash targets are recognized by the parts they share

Cause: broken runs were counted by a hash of the whole request. Requests that share only a part of their prompts, and come from any caller through any instance, each counted once, and the threshold of three was never reached: no request ended as quarantined in the logs. The class of fault: a limit keyed by something that the sender varies.

The counter is replaced by quarantine.Culprits, which compares crashes: each has the fingerprints of the runs that had not survived as suspects, and the fingerprint that explains the most crashes is blocked, from three on. A crash is a broken run whose target then refuses connections, so resets and cuts put nothing under suspicion. A run that survives exonerates its parts, here and, by an answer to the verdict, at the peers. Crashes and verdicts are facts that may be repeated, so lost datagrams, joining and cut-off instances are made up for. A request is refused before each attempt; a suspected one is retried only after the check of its target.

Tests replaced: TestCrashingRequestIsQuarantined reports crashes instead of broken runs and also checks the result; the test that an answer to a joining instance repeats no broken runs becomes TestRepeatedReportsOfACrashCountOnce, since repeats are now intended and must count once.

--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -26,9 +26,10 @@
 	}
 	a.stallDeadline = c.now + c.pauseTimeout(a)
 	if a.attemptDeliveredEvent {
+		c.recordLongRun(a)
 		return
 	}
-	a.attemptDeliveredEvent = true
+	a.attemptDeliveredEvent, a.firstEventAt = true, c.now
 	c.updateFirstEventRatio(a)
 	c.recordSuccess(a.target)
 	c.log("first-event", "request", a.arrival.ID, "attempt", ev.Attempt, "after_ms", int(toMS(c.now-a.sentAt)))
@@ -164,10 +165,12 @@
 	switch ev.Outcome {
 	case OutcomeComplete:
 		c.recordSuccess(target)
+		c.recordSurvival(a)
 		c.removeAttemptLoads(a)
 		c.finishRequest(a, Finish{Code: result.Complete, ForwardAnswer: true})
 	case OutcomeFailed:
 		c.recordTargetFailure(a, false)
+		c.recordSurvival(a)
 		c.removeAttemptLoads(a)
 		a.attemptsRun++
 		a.hasFailureAnswer = true
@@ -183,12 +186,12 @@
 		c.handleNotRun(a, ev)
 	case OutcomeBroken:
 		c.recordTargetFailure(a, true)
-		c.checkBrokenRun(a)
+		wait := c.checkBrokenRun(a)
 		c.removeAttemptLoads(a)
 		a.attemptsRun++
-		c.recordBrokenRun(a.arrival.Fingerprint)
-		c.outbox.pending.BrokenRuns = append(c.outbox.pending.BrokenRuns, a.arrival.Fingerprint)
-		c.retryOrFail(a, "broken")
+		if !wait {
+			c.retryOrFail(a, "broken")
+		}
 	case OutcomeCallerGone:
 		c.removeAttemptLoads(a)
 		a.attemptsRun++
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/medlardeck/medlardeck/internal/quarantine"
 	"github.com/medlardeck/medlardeck/internal/timers"
 )
 
@@ -51,13 +52,15 @@
 	instanceDomainsEpoch int      // incremented by each change of instanceDomains
 	outbox               outbox
 
-	retryBudgets     map[string]*retryBudget      // by service
-	brokenRuns       map[uint64]*brokenRuns       // by request fingerprint
-	targetChecks     map[incarnation]*targetCheck // of targets with broken runs
-	demands          map[string]*demand           // by service
-	firstEventRatios map[string]float64           // see firstEventRatio, by service
-	domains          map[string]*domainHealth     // failure domains that failed since their last success
-	stopping         bool
+	retryBudgets      map[string]*retryBudget // by service
+	culprits          *quarantine.Culprits
+	announcedVerdicts map[quarantine.Fingerprint]bool // by this instance
+	reportedCrashes   []reportedCrash                 // own ones that the full messages repeat
+	targetChecks      map[incarnation]*targetCheck    // of targets with broken runs
+	demands           map[string]*demand              // by service
+	firstEventRatios  map[string]float64              // see firstEventRatio, by service
+	domains           map[string]*domainHealth        // failure domains that failed since their last success
+	stopping          bool
 	// During a stop, a request that arrives after admitAllUntil is admitted only if
 	// it is expected to end by stopDeadline.
 	admitAllUntil, stopDeadline time.Duration
@@ -71,7 +74,7 @@
 		targets: make(map[string]*targetState), targetsByService: make(map[string][]*targetState),
 		requests: make(map[RequestID]*activeRequest), attempts: make(map[AttemptID]*activeRequest),
 		roundRobin: make(map[string]int), peers: make(map[string]*peer),
-		retryBudgets: make(map[string]*retryBudget), brokenRuns: make(map[uint64]*brokenRuns), domains: make(map[string]*domainHealth),
+		retryBudgets: make(map[string]*retryBudget), culprits: quarantine.NewCulprits(), announcedVerdicts: make(map[quarantine.Fingerprint]bool), domains: make(map[string]*domainHealth),
 		targetChecks: make(map[incarnation]*targetCheck), demands: make(map[string]*demand), firstEventRatios: make(map[string]float64),
 		store: storeState{reachable: true},
 	}
@@ -193,46 +196,6 @@
 	c.timers.Set(c.now+delay, fn)
 }
 
-// brokenRuns counts the runs of one request that ended with a broken connection,
-// which may mean that the request crashes its targets.
-type brokenRuns struct {
-	count     int
-	expiresAt time.Duration
-}
-
-// Quarantine of requests that crash the targets that run them.
-const (
-	// quarantineThreshold is the number of broken runs from which a request is
-	// refused.
-	quarantineThreshold = 3
-	// quarantineDuration is how long broken runs are remembered. It is longer than
-	// a caller with a usual deadline keeps resending the request.
-	quarantineDuration = time.Minute
-)
-
-// isQuarantined reports whether requests with the fingerprint are refused.
-func (c *Core) isQuarantined(fingerprint uint64) bool {
-	runs := c.brokenRuns[fingerprint]
-	return runs != nil && runs.count >= quarantineThreshold && c.now < runs.expiresAt
-}
-
-// recordBrokenRun counts a run that ended with a broken connection, here or at a
-// peer, and drops the counts that have expired.
-func (c *Core) recordBrokenRun(fingerprint uint64) {
-	for fp, runs := range c.brokenRuns {
-		if c.now >= runs.expiresAt {
-			delete(c.brokenRuns, fp)
-		}
-	}
-	runs := c.brokenRuns[fingerprint]
-	if runs == nil {
-		runs = &brokenRuns{}
-		c.brokenRuns[fingerprint] = runs
-	}
-	runs.count++
-	runs.expiresAt = c.now + quarantineDuration
-}
-
 // serviceTargets returns the targets of a service, ordered by id.
 func (c *Core) serviceTargets(service string) []*targetState { return c.targetsByService[service] }
 
--- a/internal/fleet/crash.go
+++ b/internal/fleet/crash.go
@@ -4,11 +4,43 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/medlardeck/medlardeck/internal/quarantine"
+)
+
+// Detection of requests that crash the targets that run them.
+const (
+	// targetCheckDelay is the time between a broken run and the check of its target:
+	// when a process ends, its connections may close before its listener does.
+	targetCheckDelay = 20 * time.Millisecond
+	// survivalTime is how long a run has to send events until it counts as survived.
+	// A request that crashes its target does so when its answer begins.
+	survivalTime = 500 * time.Millisecond
+	// crashRepeatTime is how long full messages repeat a crash, in case that earlier
+	// messages were lost, and maxRepeatedCrashes the number of crashes in one.
+	crashRepeatTime    = 3 * fullGossipInterval
+	maxRepeatedCrashes = 8
+	// quarantineRetryAfter is the Retry-After of a refused request that would crash
+	// its target.
+	quarantineRetryAfter = time.Minute
 )
 
-// targetCheckDelay is the time between a broken run and the check of its target: when
-// a process ends, its connections may close before its listener does.
-const targetCheckDelay = 20 * time.Millisecond
+// CrashNews is what instances tell one another of requests that crash targets. A
+// statement that is repeated changes nothing.
+type CrashNews struct {
+	_         struct{} `cbor:",toarray"`
+	Crashes   []quarantine.Crash
+	Verdicts  []quarantine.Verdict
+	Survivals []quarantine.Survival
+}
+
+// reportedCrash is a crash that this instance has told its peers.
+type reportedCrash struct {
+	quarantine.Crash
+	at time.Duration
+}
 
 // incarnation identifies one run of a target's process.
 type incarnation struct {
@@ -22,13 +54,76 @@
 // show: the connection may have been reset.
 type targetCheck struct {
 	brokenRuns int // since the last check
+	// suspects are the fingerprints of the runs that had not survived yet.
+	suspects []quarantine.Fingerprint
+	// waiting are the requests that are tried again after the check.
+	waiting []*activeRequest
+}
+
+// fingerprintsOf returns the fingerprints by which requests that crash targets are
+// recognized: that of the whole request, and those of the parts that others share.
+func fingerprintsOf(ev *RequestArrived) []quarantine.Fingerprint {
+	fingerprints := []quarantine.Fingerprint{quarantine.RequestFingerprint(ev.Fingerprint)}
+	for _, part := range ev.SharedParts {
+		fingerprints = append(fingerprints, quarantine.PartFingerprint(part))
+	}
+	return fingerprints
+}
+
+// isBlocked reports whether a request must not run, since it would crash its target.
+func (c *Core) isBlocked(a *activeRequest) bool {
+	if a.trial {
+		return false
+	}
+	fp, blocked := c.culprits.Blocked(c.now, a.fingerprints, func(fp quarantine.Fingerprint) bool {
+		a.trial = c.ownsTrial(fp)
+		return a.trial
+	})
+	if blocked {
+		a.trial = false
+		c.log("request-blocked", "request", a.arrival.ID, "fingerprint", formatFingerprint(fp))
+	}
+	return blocked
+}
+
+// ownsTrial reports whether this instance runs the trials of a fingerprint. All
+// instances in touch agree on one, so that a trial ends one target at most.
+func (c *Core) ownsTrial(fp quarantine.Fingerprint) bool {
+	rank := func(name string) uint64 { return xxhash.Sum64String(name + "/" + formatFingerprint(fp)) }
+	for name, p := range c.peers {
+		if c.now-p.lastMessageAt <= peerLoadTimeout && rank(name) > rank(c.opts.Name) {
+			return false
+		}
+	}
+	return true
+}
+
+// recordLongRun records the survival of a run that has sent events for survivalTime.
+func (c *Core) recordLongRun(a *activeRequest) {
+	if !a.survivalRecorded && c.now-a.firstEventAt >= survivalTime {
+		c.recordSurvival(a)
+	}
+}
+
+// recordSurvival records that the current attempt did not crash its target.
+func (c *Core) recordSurvival(a *activeRequest) {
+	if a.survivalRecorded {
+		return
+	}
+	a.survivalRecorded = true
+	c.recordReleases(c.culprits.RecordSurvival(c.now, a.fingerprints), true)
 }
 
 // checkBrokenRun checks the target of the current attempt after its connection broke.
-func (c *Core) checkBrokenRun(a *activeRequest) {
+// The end of a target that was leaving is no crash. It reports whether the request has
+// to wait for the result, since its next run might be the next crash.
+func (c *Core) checkBrokenRun(a *activeRequest) (wait bool) {
 	target := a.target.Target
 	c.log("broken-run", "request", a.arrival.ID, "target", target.ID, "parts", formatParts(a.arrival.SharedParts),
 		"event_seen", a.attemptDeliveredEvent)
+	if a.target.leaving || a.target.gone {
+		return false
+	}
 	check := c.targetChecks[target.incarnation()]
 	if check == nil {
 		check = &targetCheck{}
@@ -36,6 +131,15 @@
 		c.afterFunc(targetCheckDelay, func() { c.emit(CheckTarget{target}) })
 	}
 	check.brokenRuns++
+	if a.survivalRecorded || a.attemptDeliveredEvent && c.now-a.firstEventAt >= survivalTime {
+		return false
+	}
+	check.suspects = append(check.suspects, a.fingerprints...)
+	if !c.culprits.Suspected(a.fingerprints) {
+		return false
+	}
+	check.waiting = append(check.waiting, a)
+	return true
 }
 
 // formatParts lists the ids of a prompt's parts for the log.
@@ -47,13 +151,128 @@
 	return strings.Join(ids, ",")
 }
 
-// handleTargetChecked records whether the broken runs of a target were due to its end.
+func formatFingerprint(fp quarantine.Fingerprint) string { return strconv.FormatUint(uint64(fp), 16) }
+
+// handleTargetChecked records a crash if the target with broken runs has ended.
 func (c *Core) handleTargetChecked(ev TargetChecked) {
 	check := c.targetChecks[ev.Target.incarnation()]
 	if check == nil {
 		return
 	}
 	delete(c.targetChecks, ev.Target.incarnation())
-	c.log("target-checked", "target", ev.Target.ID, "result", ev.Result.String(), "broken_runs", check.brokenRuns)
+	c.log("target-checked", "target", ev.Target.ID, "result", ev.Result.String(), "broken_runs", check.brokenRuns,
+		"suspects", len(check.suspects))
 	c.incrementCounter("targets_checked", ev.Result.String())
+	if ev.Result == CheckRefused && len(check.suspects) > 0 {
+		c.reportCrash(ev.Target, check.suspects)
+	}
+	for _, a := range check.waiting {
+		if c.requests[a.arrival.Request] == a {
+			c.retryOrFail(a, "broken")
+		}
+	}
+}
+
+// reportCrash records a crash that this instance noticed, and tells the peers.
+func (c *Core) reportCrash(target Target, suspects []quarantine.Fingerprint) {
+	crash := quarantine.Crash{
+		Death:         quarantine.Death{Target: target.ID, Incarnation: uint64(target.StartedMS)},
+		FailureDomain: target.FailureDomain, Suspects: suspects,
+	}
+	c.reportedCrashes = append(c.reportedCrashes, reportedCrash{crash, c.now})
+	news := c.crashNews()
+	news.Crashes = append(news.Crashes, crash)
+	for _, fp := range c.recordCrash(crash) {
+		c.announcedVerdicts[fp] = true
+		news.Verdicts = append(news.Verdicts, quarantine.Verdict{Fingerprint: fp})
+	}
+}
+
+// recordCrash records a crash, here or at a peer, and returns the fingerprints that are
+// blocked since.
+func (c *Core) recordCrash(crash quarantine.Crash) []quarantine.Fingerprint {
+	changes := c.culprits.RecordCrash(c.now, crash)
+	for _, fp := range changes.Quarantined {
+		c.log("fingerprint-blocked", "fingerprint", formatFingerprint(fp), "target", crash.Death.Target)
+		c.incrementCounter("fingerprints", "blocked")
+	}
+	c.recordReleases(changes.Cleared, false)
+	return changes.Quarantined
+}
+
+// recordReleases records that fingerprints are no longer blocked. The peers are told
+// if they can't know, or if this instance told them of the verdict: those that hear of
+// a survival answer only the instance that has stated the verdict.
+func (c *Core) recordReleases(released []quarantine.Fingerprint, ownSurvival bool) {
+	for _, fp := range released {
+		c.log("fingerprint-released", "fingerprint", formatFingerprint(fp))
+		c.incrementCounter("fingerprints", "released")
+		if ownSurvival || c.announcedVerdicts[fp] {
+			news := c.crashNews()
+			news.Survivals = append(news.Survivals, c.culprits.LastSurvival(c.now, fp))
+		}
+		delete(c.announcedVerdicts, fp)
+	}
+}
+
+// crashNews returns the pending news for all peers and schedules their message.
+func (c *Core) crashNews() *CrashNews {
+	if c.outbox.pending.Crashes == nil {
+		c.outbox.pending.Crashes = &CrashNews{}
+	}
+	c.scheduleGossip()
+	return c.outbox.pending.Crashes
+}
+
+// addSurvivals adds survivals to a message.
+func (g *Gossip) addSurvivals(survivals ...quarantine.Survival) {
+	if len(survivals) == 0 {
+		return
+	}
+	if g.Crashes == nil {
+		g.Crashes = &CrashNews{}
+	}
+	g.Crashes.Survivals = append(g.Crashes.Survivals, survivals...)
+}
+
+// stateCrashes adds the verdicts and this instance's latest crashes to a full message.
+func (c *Core) stateCrashes(g *Gossip) {
+	for len(c.reportedCrashes) > maxRepeatedCrashes || len(c.reportedCrashes) > 0 && c.now-c.reportedCrashes[0].at > crashRepeatTime {
+		c.reportedCrashes = c.reportedCrashes[1:]
+	}
+	news := CrashNews{Verdicts: c.culprits.Verdicts(c.now)}
+	for _, reported := range c.reportedCrashes {
+		crash := reported.Crash
+		crash.Age = c.now - reported.at
+		news.Crashes = append(news.Crashes, crash)
+	}
+	if len(news.Crashes)+len(news.Verdicts) > 0 {
+		g.Crashes = &news
+	}
+}
+
+// applyCrashNews applies a peer's news. A verdict against a fingerprint with which a
+// run has survived since is answered by that survival.
+func (c *Core) applyCrashNews(from string, news *CrashNews) {
+	for _, survival := range news.Survivals {
+		fps := []quarantine.Fingerprint{survival.Fingerprint}
+		c.recordReleases(c.culprits.RecordSurvival(c.now-survival.Age, fps), false)
+	}
+	for _, crash := range news.Crashes {
+		c.recordCrash(crash)
+	}
+	var answer Gossip
+	for _, v := range news.Verdicts {
+		survival, adopted := c.culprits.AdoptVerdict(c.now, v)
+		if survival != nil {
+			answer.addSurvivals(*survival)
+		}
+		if adopted {
+			c.log("fingerprint-blocked", "fingerprint", formatFingerprint(v.Fingerprint), "told_by", from)
+			c.incrementCounter("fingerprints", "adopted")
+		}
+	}
+	if answer.Crashes != nil {
+		c.emit(SendGossip{Peer: from, Gossip: answer})
+	}
 }
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -42,15 +42,15 @@
 	// FailedTargets lists the ids of targets at which a request failed without an
 	// answer.
 	FailedTargets []string
-	// BrokenRuns lists the fingerprints of requests whose run ended with a broken
-	// connection, once for each run.
-	BrokenRuns []uint64
+	// Crashes is what the sender knows of requests that crash targets; nil if there is
+	// nothing to tell.
+	Crashes *CrashNews
 	// LeavingTargets lists the ids of targets that are leaving.
 	LeavingTargets []string
 }
 
 func (g *Gossip) isEmpty() bool {
-	return !g.Full && len(g.Loads)+len(g.FirstEvents)+len(g.EndedLoads)+len(g.FailedTargets)+len(g.BrokenRuns)+len(g.LeavingTargets) == 0
+	return !g.Full && len(g.Loads)+len(g.FirstEvents)+len(g.EndedLoads)+len(g.FailedTargets)+len(g.LeavingTargets) == 0 && g.Crashes == nil
 }
 
 // peer is another instance.
@@ -151,7 +151,10 @@
 	c.afterFunc(fullGossipInterval, c.emitFullGossip)
 	for _, domain := range c.gossipDomains() {
 		g := c.fullGossip(domain)
-		g.FailedTargets, g.BrokenRuns = c.outbox.pending.FailedTargets, c.outbox.pending.BrokenRuns
+		g.FailedTargets = c.outbox.pending.FailedTargets
+		if pending := c.outbox.pending.Crashes; pending != nil {
+			g.addSurvivals(pending.Survivals...)
+		}
 		c.emit(SendGossip{Domain: domain, Gossip: g})
 	}
 	c.outbox.clear()
@@ -183,6 +186,7 @@
 			g.LeavingTargets = append(g.LeavingTargets, target.ID)
 		}
 	}
+	c.stateCrashes(&g)
 	slices.SortFunc(g.Loads, func(a, b TargetLoad) int { return int(int64(a.Key) - int64(b.Key)) })
 	slices.Sort(g.LeavingTargets)
 	return g
@@ -239,6 +243,9 @@
 		}
 	}
 	c.applyPeerWarnings(g)
+	if g.Crashes != nil {
+		c.applyCrashNews(ev.From, g.Crashes)
+	}
 }
 
 // addPeerLoad adds a load of a peer, or records its first event if the load is known.
@@ -261,17 +268,13 @@
 	p.loads[load.Key] = placedLoad{target, tracked}
 }
 
-// applyPeerWarnings records the failed and leaving targets and the broken runs that a
-// peer reports.
+// applyPeerWarnings records the failed and leaving targets that a peer reports.
 func (c *Core) applyPeerWarnings(g *Gossip) {
 	for _, id := range g.FailedTargets {
 		if target := c.targets[id]; target != nil {
 			target.health.recordFailure(c.now, 1, true)
 		}
 	}
-	for _, fp := range g.BrokenRuns {
-		c.recordBrokenRun(fp)
-	}
 	for _, id := range g.LeavingTargets {
 		if target := c.targets[id]; target != nil && !target.leaving {
 			target.leaving = true
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"github.com/medlardeck/medlardeck/internal/quarantine"
 	"github.com/medlardeck/medlardeck/internal/result"
 )
 
@@ -82,17 +83,22 @@
 	hasFailureAnswer      bool // the last attempt ended with a failure answer that may be forwarded
 
 	reservation *reservation
+
+	fingerprints     []quarantine.Fingerprint // of the request and of the shared parts of its prompt
+	firstEventAt     time.Duration            // of the current attempt
+	survivalRecorded bool                     // of the current attempt
+	trial            bool                     // runs although a fingerprint is blocked
 }
 
 // memoryTokens is the KV cache in tokens that the request may take.
 func (a *activeRequest) memoryTokens() int { return a.arrival.PromptTokens + a.arrival.MaxAnswerTokens }
 
-// handleRequestArrived admits a request and dispatches it, or refuses it because of a stop or
-// a quarantine.
+// handleRequestArrived admits a request and dispatches it, or refuses it because of a
+// stop.
 func (c *Core) handleRequestArrived(ev RequestArrived) {
 	a := &activeRequest{
 		arrival: ev, arrivedAt: c.now, deadline: ev.Deadline,
-		value: requestValue(ev.PromptTokens), lastEventID: ev.ResumeAfter,
+		value: requestValue(ev.PromptTokens), lastEventID: ev.ResumeAfter, fingerprints: fingerprintsOf(&ev),
 	}
 	if timeout := ev.Route.Timeout; timeout > 0 {
 		a.deadline = min(a.deadline, c.now+timeout)
@@ -108,10 +114,6 @@
 		c.finishRequest(a, Finish{Code: result.Stopping, RetryAfter: minRetryAfter})
 		return
 	}
-	if c.isQuarantined(ev.Fingerprint) {
-		c.finishRequest(a, Finish{Code: result.Quarantined, RetryAfter: quarantineDuration})
-		return
-	}
 	c.afterFunc(a.deadline-c.now, func() { c.handleDeadline(ev.Request) })
 	c.dispatch(a)
 }
@@ -137,6 +139,10 @@
 // dispatch chooses targets for the next attempt and sends it, reserves memory first,
 // lets the request wait, or ends the request.
 func (c *Core) dispatch(a *activeRequest) {
+	if c.isBlocked(a) {
+		c.refuseOrFail(a, result.Quarantined, quarantineRetryAfter)
+		return
+	}
 	p := c.choosePlacement(a)
 	switch {
 	case p.primary == nil && c.canWaitForRoom(a):
@@ -218,6 +224,7 @@
 func (c *Core) sendAttempt(a *activeRequest, p placement, tickets []string) {
 	c.lastAttemptID++
 	a.attempt, a.target, a.attemptDeliveredEvent, a.hasFailureAnswer = c.lastAttemptID, p.primary, false, false
+	a.survivalRecorded = false
 	a.sentAt, a.predictedFirstEventMS = c.now, p.uncorrectedFirstEventMS
 	if !a.anyEventDelivered {
 		a.lastEventAt = c.now
@@ -322,8 +329,8 @@
 		a.attemptsRun >= max(1, a.arrival.Route.MaxAttempts),
 		a.attemptsNotRun > maxAttemptsNotRun:
 		c.refuseOrFail(a, result.TargetsRefused, minRetryAfter)
-	case c.isQuarantined(a.arrival.Fingerprint):
-		c.refuseOrFail(a, result.Quarantined, quarantineDuration)
+	case c.isBlocked(a):
+		c.refuseOrFail(a, result.Quarantined, quarantineRetryAfter)
 	case (a.arrivedAtTarget || a.attemptsRun > 0) && !c.takeRetry(a.service):
 		c.refuseOrFail(a, result.RetryBudget, minRetryAfter)
 	default:
--- a/internal/fleet/request_test.go
+++ b/internal/fleet/request_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/medlardeck/medlardeck/internal/quarantine"
 	"github.com/medlardeck/medlardeck/internal/result"
 )
 
@@ -108,15 +109,27 @@
 	}
 }
 
+// peerCrash returns the news of a crash that a peer saw, with a whole request as the
+// suspect.
+func peerCrash(target string, fingerprint uint64) Gossip {
+	return Gossip{Crashes: &CrashNews{Crashes: []quarantine.Crash{{
+		Death: quarantine.Death{Target: target}, FailureDomain: target,
+		Suspects: []quarantine.Fingerprint{quarantine.RequestFingerprint(fingerprint)},
+	}}}}
+}
+
 // A request that crashes the targets that run it is refused after the third run, even
 // if the runs were seen by different instances.
 func TestCrashingRequestIsQuarantined(t *testing.T) {
 	h := newHarness(t, 8)
-	h.step(PeerGossip{From: "front-2", Gossip: Gossip{BrokenRuns: []uint64{1}}})
-	h.step(PeerGossip{From: "front-3", Gossip: Gossip{BrokenRuns: []uint64{1}}})
+	h.step(PeerGossip{From: "front-2", Gossip: peerCrash("other-1", 1)})
+	h.step(PeerGossip{From: "front-3", Gossip: peerCrash("other-2", 1)})
 	id := h.submit(routeShort, 4000) // fingerprint 1
-	h.step(AttemptEnd{Attempt: h.lastSend(id).Attempt, Outcome: OutcomeBroken})
+	first := h.lastSend(id)
+	h.step(AttemptEnd{Attempt: first.Attempt, Outcome: OutcomeBroken})
+	h.step(TargetChecked{first.Target, CheckRefused})
 	must.Eq(t, 1, h.sendCount(id))
+	must.Eq(t, result.TargetDied, h.finishes[id].Code)
 	h.step(RequestArrived{Request: 99, Route: &h.config.Routes[routeShort], Config: h.config, Deadline: h.now + time.Second, PromptTokens: 1, Fingerprint: 1})
 	must.Eq(t, result.FamilyRefused, h.finishes[99].Code.Family())
 	must.Eq(t, 0, h.sendCount(99))
--- a/internal/fleet/reserve.go
+++ b/internal/fleet/reserve.go
@@ -3,6 +3,8 @@
 import (
 	"strconv"
 	"time"
+
+	"github.com/medlardeck/medlardeck/internal/result"
 )
 
 // Timing of memory reservations.
@@ -75,6 +77,10 @@
 	if res.replies < len(res.tickets) {
 		return
 	}
+	if c.isBlocked(a) {
+		c.refuseOrFail(a, result.Quarantined, quarantineRetryAfter)
+		return
+	}
 	if !res.denied {
 		res.granted = true
 		c.sendAttempt(a, res.placement, res.tickets)
--- a/internal/fleet/sharing_test.go
+++ b/internal/fleet/sharing_test.go
@@ -67,11 +67,13 @@
 func TestLargeFleetTellsAllDomainsOfFailures(t *testing.T) {
 	h := newLargeFleet(t, 16, 8)
 	id := h.submit(routeShort, 3000)
-	h.step(AttemptEnd{Attempt: h.lastSend(id).Attempt, Outcome: OutcomeBroken})
+	first := h.lastSend(id)
+	h.step(AttemptEnd{Attempt: first.Attempt, Outcome: OutcomeBroken})
+	h.step(TargetChecked{first.Target, CheckRefused})
 	h.advance(2 * gossipDelay)
 	var told []string
 	for _, g := range h.gossips {
-		if len(g.Gossip.FailedTargets) > 0 && len(g.Gossip.BrokenRuns) > 0 {
+		if len(g.Gossip.FailedTargets) > 0 && g.Gossip.Crashes != nil && len(g.Gossip.Crashes.Crashes) > 0 {
 			told = append(told, g.Domain)
 		}
 	}
@@ -168,19 +170,30 @@
 	must.True(t, h.gossips[0].Gossip.Full)
 }
 
-// Each broken run counts towards the quarantine of a request, so an answer to an
-// instance that starts must not repeat those that the next message to all reports.
-func TestAnswerToJoiningInstanceRepeatsNoBrokenRuns(t *testing.T) {
+// Messages repeat crashes in case that earlier ones were lost. A crash counts towards a
+// quarantine once, however often and by however many peers it is reported.
+func TestRepeatedReportsOfACrashCountOnce(t *testing.T) {
 	h := newLargeFleet(t, 16, 8)
-	id := h.submit(routeShort, 3000)
-	h.step(AttemptEnd{Attempt: h.lastSend(id).Attempt, Outcome: OutcomeBroken})
-	h.step(PeerGossip{From: "peer-b-3", Domain: "b", Gossip: Gossip{Joining: true, Full: true}})
-	h.advance(2 * fullGossipInterval)
-	reported := 0
-	for _, g := range h.gossips {
-		if g.Peer == "peer-b-3" || g.Domain == "b" {
-			reported += len(g.Gossip.BrokenRuns)
-		}
+	for _, from := range []string{"peer-b-1", "peer-c-1", "peer-b-1", "peer-d-1"} {
+		h.step(PeerGossip{From: from, Gossip: peerCrash("gone", 1)})
 	}
-	must.Eq(t, 1, reported)
+	must.Eq(t, 1, h.sendCount(h.submit(routeShort, 3000))) // fingerprint 1
+	h.step(PeerGossip{From: "peer-b-1", Gossip: peerCrash("other-1", 2)})
+	h.step(PeerGossip{From: "peer-b-1", Gossip: peerCrash("other-2", 2)})
+	h.step(PeerGossip{From: "peer-c-1", Gossip: peerCrash("other-3", 2)})
+	must.Eq(t, 0, h.sendCount(h.submit(routeShort, 3000))) // fingerprint 2
+}
+
+// An instance that starts learns at once which requests crash targets.
+func TestJoiningInstanceIsToldOfVerdicts(t *testing.T) {
+	h := newLargeFleet(t, 16, 8)
+	for _, target := range []string{"other-1", "other-2", "other-3"} {
+		h.step(PeerGossip{From: "peer-b-1", Gossip: peerCrash(target, 1)})
+	}
+	h.gossips = nil
+	h.step(PeerGossip{From: "peer-b-3", Domain: "b", Gossip: Gossip{Joining: true, Full: true}})
+	must.Len(t, 1, h.gossips)
+	joined := newHarness(t, 8)
+	joined.step(PeerGossip{From: "front-9", Gossip: h.gossips[0].Gossip})
+	must.Eq(t, 0, joined.sendCount(joined.submit(routeShort, 3000))) // fingerprint 1
 }
