forward: an answer without length that ends before its first event is broken off

A stream with neither a length nor chunks ends with its connection. If its target ended before the first event, callers got an empty stream with status 200 that looked whole, and the run counted as survived, which would have cleared the part that crashed the target.

Such a stream is now broken off unless an event came; one that ends inside an event was already. An answer that ended with its connection is no proof of survival: its target is checked like that of a broken run.

--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -165,12 +165,12 @@
 	switch ev.Outcome {
 	case OutcomeComplete:
 		c.recordSuccess(target)
-		c.recordSurvival(a)
+		c.recordAnswer(a, ev)
 		c.removeAttemptLoads(a)
 		c.finishRequest(a, Finish{Code: result.Complete, ForwardAnswer: true})
 	case OutcomeFailed:
 		c.recordTargetFailure(a, false)
-		c.recordSurvival(a)
+		c.recordAnswer(a, ev)
 		c.removeAttemptLoads(a)
 		a.attemptsRun++
 		a.hasFailureAnswer = true
--- a/internal/fleet/crash.go
+++ b/internal/fleet/crash.go
@@ -114,6 +114,16 @@
 	c.recordReleases(c.culprits.RecordSurvival(c.now, a.fingerprints), true)
 }
 
+// recordAnswer records the survival of a run that ended with an answer. One that ended
+// with its connection may have been cut short by the end of its target.
+func (c *Core) recordAnswer(a *activeRequest, ev AttemptEnd) {
+	if !ev.EndedByClose {
+		c.recordSurvival(a)
+	} else if !a.survivalRecorded {
+		c.checkBrokenRun(a)
+	}
+}
+
 // checkBrokenRun checks the target of the current attempt after its connection broke.
 // The end of a target that was leaving is no crash. It reports whether the request has
 // to wait for the result, since its next run might be the next crash.
--- a/internal/fleet/crash_test.go
+++ b/internal/fleet/crash_test.go
@@ -295,6 +295,29 @@
 	must.Eq(t, 0, submit(103, 3))
 }
 
+// Answers without a length end with their connection, also when their target ends: such
+// an answer does not show that its request is sound.
+func TestAnswerThatEndsWithItsTargetIsNoSurvival(t *testing.T) {
+	h := newHarness(t, 0)
+	for i := range 6 {
+		h.listTarget("pool", i, string(rune('a'+i)))
+	}
+	for i := range 3 {
+		h.advance(2 * time.Second)
+		h.lastRequestID++
+		h.step(RequestArrived{
+			Request: h.lastRequestID, Route: &h.config.Routes[routeShort], Config: h.config, Deadline: h.now + time.Second,
+			PromptTokens: 100, Fingerprint: uint64(h.lastRequestID), SharedParts: []uint64{crashingPart},
+		})
+		must.Eq(t, 1, h.sendCount(h.lastRequestID), must.Sprintf("request %d", i))
+		send := h.lastSend(h.lastRequestID)
+		h.step(AttemptEnd{Attempt: send.Attempt, Outcome: OutcomeComplete, EndedByClose: true})
+		h.step(TargetChecked{send.Target, CheckRefused})
+		h.step(TargetRemoved{send.Target.ID})
+	}
+	must.SliceNotEmpty(t, h.core.culprits.Verdicts(h.now))
+}
+
 // Each request has parts of its own: neither memory nor messages grow without bound.
 func TestManyPartsAreForgotten(t *testing.T) {
 	w := newCrashWorld(t, 900, 2, 8)
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -119,6 +119,9 @@
 	// FailedAddress is the address of the target that caused the failure, if the answer
 	// names one; it may be a helper.
 	FailedAddress string
+	// EndedByClose says that a complete answer had no length and ended with its
+	// connection, as it also does when its target ends.
+	EndedByClose bool
 }
 
 // CallerLeft reports that the caller closed its connection.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -189,7 +189,7 @@
 	if err != nil {
 		return brokenAttempt(err)
 	}
-	end := fleet.AttemptEnd{Outcome: fleet.OutcomeComplete, Status: resp.StatusCode, FailedAddress: metadata.FailedAddress}
+	end := fleet.AttemptEnd{Outcome: fleet.OutcomeComplete, Status: resp.StatusCode, FailedAddress: metadata.FailedAddress, EndedByClose: endsByClose(resp)}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		end.Outcome = fleet.OutcomeFailed
 	}
@@ -203,17 +203,10 @@
 // time. It skips events that the caller already has from an earlier attempt.
 func (x *exchange) relayStream(send fleet.Send, resp *http.Response) fleet.AttemptEnd {
 	br := bufio.NewReaderSize(resp.Body, connBufferBytes)
-	for {
+	for events := 0; ; events++ {
 		event, err := readEvent(br)
 		if err != nil {
-			if errors.Is(err, io.EOF) && len(event) == 0 {
-				x.writeStreamHead(resp)
-				return fleet.AttemptEnd{Outcome: fleet.OutcomeComplete, Status: resp.StatusCode}
-			}
-			if errors.Is(err, io.EOF) {
-				err = io.ErrUnexpectedEOF
-			}
-			return brokenAttempt(err)
+			return x.endStream(resp, err, len(event) > 0 || events == 0 && endsByClose(resp))
 		}
 		if x.isCancelled(send.Attempt) {
 			return brokenAttempt(errors.New("cancelled"))
@@ -233,6 +226,25 @@
 	}
 }
 
+// endStream returns the end of an attempt whose stream ended with an error, io.EOF for a
+// regular end. truncated says that the stream ended too early all the same.
+func (x *exchange) endStream(resp *http.Response, err error, truncated bool) fleet.AttemptEnd {
+	switch {
+	case !errors.Is(err, io.EOF):
+		return brokenAttempt(err)
+	case truncated:
+		return brokenAttempt(io.ErrUnexpectedEOF)
+	}
+	x.writeStreamHead(resp)
+	return fleet.AttemptEnd{Outcome: fleet.OutcomeComplete, Status: resp.StatusCode, EndedByClose: endsByClose(resp)}
+}
+
+// endsByClose reports whether a response has neither a length nor chunks, so that only
+// the end of its connection ends it.
+func endsByClose(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // readEvent reads one event, including the blank line that ends it. At the end
 // of the stream it returns io.EOF and the bytes after the last event.
 func readEvent(br *bufio.Reader) ([]byte, error) {
