--- a/internal/fleet/crash_test.go
+++ b/internal/fleet/crash_test.go
@@ -11,7 +11,7 @@
 	"github.com/medlardeck/medlardeck/internal/quarantine"
 )
 
-// Parts of the prompts in a crash world. Each sound prompt begins with a part that
+// Parts of the prompts in a fleet world. Each sound prompt begins with a part that
 // many share, and goes on with one of its subject.
 const (
 	firstParts   = 3
@@ -22,7 +22,7 @@
 
 // soundParts draws the shared parts of a sound prompt. Some are far more common than
 // others.
-func (w *crashWorld) soundParts() []uint64 {
+func (w *fleetWorld) soundParts() []uint64 {
 	first := uint64(1 + min(w.rng.IntN(2*firstParts), w.rng.IntN(firstParts)))
 	subject := uint64(firstSubject + min(w.rng.IntN(subjects), w.rng.IntN(subjects)))
 	return []uint64{first, subject}
@@ -30,7 +30,7 @@
 
 // sendSoundRequests sends requests without a crashing part, a second over all
 // instances, until end.
-func (w *crashWorld) sendSoundRequests(perSecond int, end time.Duration) {
+func (w *fleetWorld) sendSoundRequests(perSecond int, end time.Duration) {
 	w.repeat(time.Second/time.Duration(perSecond), end, func() {
 		route, prompt := routeShort, 2000+w.rng.IntN(4000)
 		if w.rng.IntN(30) == 0 {
@@ -42,7 +42,7 @@
 
 // sendCrashingRequests sends requests with a crashing part until end. No two are
 // alike: the part stands anywhere among parts of sound prompts.
-func (w *crashWorld) sendCrashingRequests(part uint64, perSecond int, begin, end time.Duration) {
+func (w *fleetWorld) sendCrashingRequests(part uint64, perSecond int, begin, end time.Duration) {
 	w.after(begin-w.now, func() {
 		w.crashing[part] = true
 		w.repeat(time.Second/time.Duration(perSecond), end, func() {
@@ -61,10 +61,10 @@
 	})
 }
 
-func (w *crashWorld) anyInstance() *worldInstance { return w.instances[w.rng.IntN(len(w.instances))] }
+func (w *fleetWorld) anyInstance() *worldInstance { return w.instances[w.rng.IntN(len(w.instances))] }
 
 // repeat calls fn at random times until end, on average once in each interval.
-func (w *crashWorld) repeat(interval, end time.Duration, fn func()) {
+func (w *fleetWorld) repeat(interval, end time.Duration, fn func()) {
 	w.after(time.Duration(w.rng.Int64N(2*int64(interval))), func() {
 		if w.now < end {
 			fn()
@@ -75,7 +75,7 @@
 
 // checkBudget checks that at most three requests with a crashing part reach targets
 // once the fleet had time to learn of the fifth crash.
-func (w *crashWorld) checkBudget(seed uint64) {
+func (w *fleetWorld) checkBudget(seed uint64) {
 	w.t.Helper()
 	for part, crashes := range w.crashes {
 		must.LessEq(w.t, 3, w.reachedLate(part), must.Sprintf("seed %d: part %x reached targets after its fifth of %d crashes", seed, part, len(crashes)))
@@ -84,7 +84,7 @@
 
 // checkSound checks that sound requests begin at their first attempt at least half as
 // often as before the crashes.
-func (w *crashWorld) checkSound(seed uint64, before, from, to time.Duration) {
+func (w *fleetWorld) checkSound(seed uint64, before, from, to time.Duration) {
 	w.t.Helper()
 	for first := uint64(1); first <= firstParts; first++ {
 		shares := func(r *worldRequest) bool { return slices.Contains(r.parts, first) }
@@ -98,7 +98,7 @@
 // requests that share their other parts are not.
 func TestCrashingPartIsRefusedAndSoundRequestsAreServed(t *testing.T) {
 	for seed := range uint64(12) {
-		w := newCrashWorld(t, seed, 4, 16)
+		w := newFleetWorld(t, seed, 4, 16)
 		w.sendSoundRequests(36, 40*time.Second)
 		w.sendCrashingRequests(crashingPart, 5, 8*time.Second, 40*time.Second)
 		w.runUntil(45 * time.Second)
@@ -108,13 +108,13 @@
 }
 
 // checkNoSoundRefusals checks that hardly any sound requests were refused as crashing.
-func (w *crashWorld) checkNoSoundRefusals(seed uint64) {
+func (w *fleetWorld) checkNoSoundRefusals(seed uint64) {
 	w.t.Helper()
 	must.LessEq(w.t, len(w.requests)/100, w.refusals, must.Sprintf("seed %d: sound requests refused", seed))
 }
 
 // endTargets ends random targets at random times, each with whatever runs there.
-func (w *crashWorld) endTargets(interval, end time.Duration) {
+func (w *fleetWorld) endTargets(interval, end time.Duration) {
 	w.repeat(interval, end, func() {
 		if target := w.targets[w.rng.IntN(len(w.targets))]; !target.down {
 			w.endTarget(target)
@@ -125,7 +125,7 @@
 // Messages between instances are lost: what one has learnt still reaches the others.
 func TestCrashingPartIsRefusedThoughMessagesAreLost(t *testing.T) {
 	for seed := range uint64(6) {
-		w := newCrashWorld(t, 100+seed, 6, 18)
+		w := newFleetWorld(t, 100+seed, 6, 18)
 		w.lossRate = 0.3
 		w.sendSoundRequests(36, 30*time.Second)
 		w.sendCrashingRequests(crashingPart, 5, 5*time.Second, 30*time.Second)
@@ -138,7 +138,7 @@
 // Two parts crash targets at once, some requests have both.
 func TestTwoCrashingPartsAreRefused(t *testing.T) {
 	for seed := range uint64(6) {
-		w := newCrashWorld(t, 200+seed, 4, 20)
+		w := newFleetWorld(t, 200+seed, 4, 20)
 		w.sendSoundRequests(36, 30*time.Second)
 		w.sendCrashingRequests(crashingPart, 3, 5*time.Second, 30*time.Second)
 		w.sendCrashingRequests(crashingPart+1, 2, 5*time.Second, 30*time.Second)
@@ -158,7 +158,7 @@
 // crashes of a part nor puts sound parts under suspicion.
 func TestCrashesAreToldFromOtherEndsOfTargets(t *testing.T) {
 	for seed := range uint64(6) {
-		w := newCrashWorld(t, 300+seed, 4, 20)
+		w := newFleetWorld(t, 300+seed, 4, 20)
 		w.sendSoundRequests(36, 40*time.Second)
 		w.endTargets(2*time.Second, 40*time.Second)
 		w.repeat(500*time.Millisecond, 40*time.Second, func() { w.resetRuns(w.targets[w.rng.IntN(len(w.targets))]) })
@@ -173,7 +173,7 @@
 // Targets end and a failure domain is cut off, without any crashing request.
 func TestEndsOfTargetsAloneBlockNothing(t *testing.T) {
 	for seed := range uint64(6) {
-		w := newCrashWorld(t, 400+seed, 6, 18)
+		w := newFleetWorld(t, 400+seed, 6, 18)
 		w.sendSoundRequests(50, 40*time.Second)
 		w.endTargets(700*time.Millisecond, 40*time.Second)
 		w.repeat(8*time.Second, 35*time.Second, func() {
@@ -193,7 +193,7 @@
 // Instances that restart, or that join later, know what the others have learnt.
 func TestRestartedInstancesKnowCrashingParts(t *testing.T) {
 	for seed := range uint64(6) {
-		w := newCrashWorld(t, 500+seed, 6, 18)
+		w := newFleetWorld(t, 500+seed, 6, 18)
 		w.sendSoundRequests(36, 40*time.Second)
 		w.sendCrashingRequests(crashingPart, 5, 5*time.Second, 40*time.Second)
 		for i := range 12 {
@@ -209,7 +209,7 @@
 // A failure domain is cut off while the others learn; when it is back it knows at once.
 func TestDomainBackFromACutKnowsCrashingParts(t *testing.T) {
 	for seed := range uint64(6) {
-		w := newCrashWorld(t, 600+seed, 6, 18)
+		w := newFleetWorld(t, 600+seed, 6, 18)
 		w.sendSoundRequests(36, 40*time.Second)
 		w.after(4*time.Second, func() { w.cut = "b" })
 		w.sendCrashingRequests(crashingPart, 5, 5*time.Second, 8*time.Second)
@@ -227,7 +227,7 @@
 // One trial finds out that it is sound, and one crash does not make up for the runs
 // since.
 func TestPartThatCrashesNoMoreIsServedAgain(t *testing.T) {
-	w := newCrashWorld(t, 700, 4, 16)
+	w := newFleetWorld(t, 700, 4, 16)
 	w.sendSoundRequests(10, 30*time.Minute)
 	w.sendCrashingRequests(crashingPart, 2, 5*time.Second, 30*time.Minute)
 	w.runUntil(time.Minute)
@@ -251,7 +251,7 @@
 
 // Many instances each send a first crashing request before any can know.
 func TestManyInstancesLearnOfACrashingPartAtOnce(t *testing.T) {
-	w := newCrashWorld(t, 800, 48, 96)
+	w := newFleetWorld(t, 800, 48, 96)
 	w.sendSoundRequests(200, 15*time.Second)
 	w.after(4*time.Second, func() {
 		w.crashing[crashingPart] = true
@@ -320,7 +320,7 @@
 
 // Each request has parts of its own: neither memory nor messages grow without bound.
 func TestManyPartsAreForgotten(t *testing.T) {
-	w := newCrashWorld(t, 900, 2, 8)
+	w := newFleetWorld(t, 900, 2, 8)
 	var next uint64 = 1000
 	w.repeat(20*time.Millisecond, time.Minute, func() {
 		next += 32
--- a/internal/fleet/crash_world_test.go
+++ b/internal/fleet/world_test.go
@@ -10,7 +10,7 @@
 	"github.com/medlardeck/medlardeck/internal/timers"
 )
 
-// Timing of a crash world. stableWindow is the time that a fleet has to learn
+// Timing of a fleet world. stableWindow is the time that a fleet has to learn
 // something in.
 const (
 	worldHop         = time.Millisecond
@@ -22,9 +22,9 @@
 	stableWindow     = 3 * time.Second
 )
 
-// crashWorld drives the cores of several instances on one virtual clock against
+// fleetWorld drives the cores of several instances on one virtual clock against
 // targets that end when they begin to answer a request with a crashing part.
-type crashWorld struct {
+type fleetWorld struct {
 	t         *testing.T
 	rng       *rand.Rand
 	now       time.Duration
@@ -45,7 +45,7 @@
 }
 
 type worldInstance struct {
-	world    *crashWorld
+	world    *fleetWorld
 	name     string
 	domain   string
 	core     *Core
@@ -81,9 +81,9 @@
 	ended    bool
 }
 
-func newCrashWorld(t *testing.T, seed uint64, instances, targets int) *crashWorld {
+func newFleetWorld(t *testing.T, seed uint64, instances, targets int) *fleetWorld {
 	t.Helper()
-	w := &crashWorld{
+	w := &fleetWorld{
 		t: t, rng: rand.New(rand.NewPCG(seed, 9)), config: newHarness(t, 0).config, crashing: make(map[uint64]bool),
 		crashes: make(map[uint64][]time.Duration), reached: make(map[uint64][]time.Duration),
 	}
@@ -97,16 +97,16 @@
 	return w
 }
 
-func (w *crashWorld) domain(i int) string { return string(rune('a' + i%3)) }
+func (w *fleetWorld) domain(i int) string { return string(rune('a' + i%3)) }
 
 // addInstance starts a further instance.
-func (w *crashWorld) addInstance() {
+func (w *fleetWorld) addInstance() {
 	w.instances = append(w.instances, nil)
 	w.startInstance(len(w.instances) - 1)
 }
 
 // startInstance starts an instance, or starts it again with nothing in memory.
-func (w *crashWorld) startInstance(i int) {
+func (w *fleetWorld) startInstance(i int) {
 	if former := w.instances[i]; former != nil {
 		former.down = true
 		for _, run := range former.runs {
@@ -131,7 +131,7 @@
 }
 
 // startTarget starts a target again as another incarnation at the same address.
-func (w *crashWorld) startTarget(target *worldTarget) {
+func (w *fleetWorld) startTarget(target *worldTarget) {
 	target.starts++
 	target.down, target.runs = false, nil
 	target.Target = Target{
@@ -143,10 +143,10 @@
 	}
 }
 
-func (w *crashWorld) after(d time.Duration, fn func()) { w.queue.Set(w.now+d, fn) }
+func (w *fleetWorld) after(d time.Duration, fn func()) { w.queue.Set(w.now+d, fn) }
 
 // runUntil advances the virtual clock.
-func (w *crashWorld) runUntil(end time.Duration) {
+func (w *fleetWorld) runUntil(end time.Duration) {
 	for {
 		at, ok := w.queue.Next()
 		if !ok || at > end {
@@ -207,10 +207,10 @@
 	}
 }
 
-func (w *crashWorld) separated(a, b string) bool { return a != b && (a == w.cut || b == w.cut) }
+func (w *fleetWorld) separated(a, b string) bool { return a != b && (a == w.cut || b == w.cut) }
 
 // target returns the world's target for an incarnation, or nil if it has ended.
-func (w *crashWorld) target(t Target) *worldTarget {
+func (w *fleetWorld) target(t Target) *worldTarget {
 	i := slices.IndexFunc(w.targets, func(target *worldTarget) bool { return target.ID == t.ID })
 	if i < 0 {
 		return nil
@@ -218,7 +218,7 @@
 	return w.targets[i]
 }
 
-func (w *crashWorld) checkResult(in *worldInstance, target *worldTarget) CheckResult {
+func (w *fleetWorld) checkResult(in *worldInstance, target *worldTarget) CheckResult {
 	switch {
 	case target == nil || target.down:
 		return CheckRefused
@@ -228,7 +228,7 @@
 	return CheckAccepted
 }
 
-func (w *crashWorld) carriesCrashingPart(r *worldRequest) bool {
+func (w *fleetWorld) carriesCrashingPart(r *worldRequest) bool {
 	return slices.ContainsFunc(r.parts, func(part uint64) bool { return w.crashes[part] != nil || w.crashing[part] })
 }
 
@@ -323,7 +323,7 @@
 
 // endTarget ends a target and breaks all its runs. Runs that it helps break when their
 // own target notices.
-func (w *crashWorld) endTarget(target *worldTarget) {
+func (w *fleetWorld) endTarget(target *worldTarget) {
 	target.down = true
 	w.resetRuns(target)
 	for _, other := range w.targets {
@@ -347,7 +347,7 @@
 }
 
 // resetRuns breaks the connections of all runs at a target.
-func (w *crashWorld) resetRuns(target *worldTarget) {
+func (w *fleetWorld) resetRuns(target *worldTarget) {
 	for _, run := range slices.Clone(target.runs) {
 		run.report(OutcomeBroken)
 	}
@@ -355,7 +355,7 @@
 
 // reachedLate counts the requests with a part that reached targets later than
 // stableWindow after its fifth crash.
-func (w *crashWorld) reachedLate(part uint64) int {
+func (w *fleetWorld) reachedLate(part uint64) int {
 	if len(w.crashes[part]) < 5 {
 		return 0
 	}
@@ -370,7 +370,7 @@
 
 // beganShare is the share of the sound requests sent in a span whose first attempt
 // began.
-func (w *crashWorld) beganShare(from, to time.Duration, match func(*worldRequest) bool) float64 {
+func (w *fleetWorld) beganShare(from, to time.Duration, match func(*worldRequest) bool) float64 {
 	began, total := 0, 0
 	for _, r := range w.requests {
 		if r.sentAt >= from && r.sentAt < to && !w.carriesCrashingPart(r) && match(r) {
