fleet: the limits that targets name are read and logged

The logs named no limit, so they could not tell whether an instance had heard of one.

The platform's adapter reads the limit of each answer; that of the first event, or of the whole answer, is logged as target-limit when it changes. No decision depends on it yet. An answer to a run without a limit says that there is none; what is no number says nothing.

--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -30,6 +30,7 @@
 		return
 	}
 	a.attemptDeliveredEvent, a.firstEventAt = true, c.now
+	c.recordLimit(a, ev.Limit)
 	c.updateFirstEventRatio(a)
 	c.recordSuccess(a.target)
 	c.log("first-event", "request", a.arrival.ID, "attempt", ev.Attempt, "after_ms", int(toMS(c.now-a.sentAt)))
@@ -156,6 +157,9 @@
 	}
 	target := a.target
 	a.lastEnd = ev
+	if !a.attemptDeliveredEvent {
+		c.recordLimit(a, ev.Limit)
+	}
 	if ev.Outcome != OutcomeComplete {
 		c.log("attempt-ended", "request", a.arrival.ID, "attempt", ev.Attempt, "target", target.ID,
 			"end", ev.Outcome.String(), "status", ev.Status, "cause", ev.Cause, "culprit", ev.FailedAddress,
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -79,10 +79,31 @@
 	SharedParts []uint64
 }
 
+// LimitStatement says whether a target's answer names a limit of requests.
+type LimitStatement uint8
+
+// Statements about a limit.
+const (
+	// LimitUnknown means that there is no answer, or that what it says is unreadable.
+	LimitUnknown LimitStatement = iota
+	// LimitNone means that the target names no limit in its answer to a run.
+	LimitNone
+	// LimitNamed means that the target names a limit.
+	LimitNamed
+)
+
+// Limit is what a target's answer says of the requests that it takes from all instances
+// together.
+type Limit struct {
+	Statement LimitStatement
+	PerSecond float64
+}
+
 // Progress reports that a whole event of the answer was forwarded to the caller.
 type Progress struct {
 	Attempt AttemptID
 	EventID string
+	Limit   Limit
 }
 
 // AttemptOutcome is the way in which an attempt ended, as far as it is known.
@@ -122,6 +143,7 @@
 	// EndedByClose says that a complete answer had no length and ended with its
 	// connection, as it also does when its target ends.
 	EndedByClose bool
+	Limit        Limit
 }
 
 // CallerLeft reports that the caller closed its connection.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -47,7 +47,7 @@
 
 // runAttempt sends the request to a target and relays or buffers the response.
 func (x *exchange) runAttempt(send fleet.Send) fleet.AttemptEnd {
-	x.buffered = nil
+	x.buffered, x.limit = nil, fleet.Limit{}
 	key := send.Target.ID + "@" + send.Target.Address
 	c, err := x.node.pool.get(x.node.ctx, key, send.Target.Address, send.FreshConnection)
 	if err != nil {
@@ -65,6 +65,7 @@
 	}
 	written := x.writeRequest(c, send, timeLeft)
 	end, resp := x.readResponse(c, send)
+	end.Limit = x.limit
 	x.releaseConn(c, resp, written, end)
 	return end
 }
@@ -131,6 +132,7 @@
 	if err != nil {
 		return brokenAttempt(err), nil
 	}
+	x.limit = metadata.Limit
 	switch {
 	case resp.StatusCode == http.StatusMisdirectedRequest:
 		return fleet.AttemptEnd{Outcome: fleet.OutcomeMisdirected, Status: resp.StatusCode, FailedAddress: metadata.FailedAddress}, resp
@@ -222,7 +224,7 @@
 		if id != "" {
 			x.lastEventID = id
 		}
-		x.node.Step(fleet.Progress{Attempt: send.Attempt, EventID: id})
+		x.node.Step(fleet.Progress{Attempt: send.Attempt, EventID: id, Limit: x.limit})
 	}
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -36,6 +36,7 @@
 	conn           *conn           // connection of the current attempt, nil between attempts
 	lastCancelled  fleet.AttemptID // attempts up to this ID are cancelled
 
+	limit       fleet.Limit       // as the answer to the current attempt names it
 	headWritten bool              // status and headers were written to the caller
 	lastEventID string            // ID of the last event that the caller received
 	buffered    *bufferedResponse // response of the last attempt, not yet written to the caller
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -41,6 +41,7 @@
 	// FailedAddress is the address of the target that caused the failure, empty if
 	// none is named.
 	FailedAddress string
+	Limit         fleet.Limit
 }
 
 // HeaderCodec reads and writes the platform's HTTP headers.
