--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -41,6 +41,7 @@
 	// reached are the times at which requests with a part reached targets.
 	reached  map[uint64][]time.Duration
 	requests []*worldRequest
+	rejects  float64 // share of the requests that targets reject
 	refusals int // of requests without a crashing part, by quarantine
 }
 
@@ -61,6 +62,8 @@
 	slot, starts int
 	down         bool
 	runs         []*worldRun
+	limit        Limit           // named in answers
+	arrivals     []time.Duration // of requests and of helpers' parts
 }
 
 type worldRequest struct {
@@ -133,7 +136,7 @@
 // startTarget starts a target again as another incarnation at the same address.
 func (w *fleetWorld) startTarget(target *worldTarget) {
 	target.starts++
-	target.down, target.runs = false, nil
+	target.down, target.runs, target.arrivals, target.limit = false, nil, nil, Limit{Statement: LimitNone}
 	target.Target = Target{
 		ID: fmt.Sprintf("t%d-%d", target.slot, target.starts), Service: "pool", Address: fmt.Sprintf("10.0.0.%d:1", target.slot),
 		FailureDomain: w.domain(target.slot), Slots: 16, StartedMS: w.now.Milliseconds() + 1,
@@ -267,7 +270,13 @@
 
 func (run *worldRun) report(outcome AttemptOutcome) {
 	run.end()
-	run.instance.world.after(worldHop, func() { run.instance.step(AttemptEnd{Attempt: run.attempt, Outcome: outcome}) })
+	var limit Limit
+	if outcome != OutcomeNotConnected && outcome != OutcomeBroken {
+		limit = run.target.limit
+	}
+	run.instance.world.after(worldHop, func() {
+		run.instance.step(AttemptEnd{Attempt: run.attempt, Outcome: outcome, Limit: limit})
+	})
 }
 
 // arrive begins a run, which reads its prompt first.
@@ -284,6 +293,15 @@
 		w.reached[part] = append(w.reached[part], w.now)
 	}
 	run.target.runs = append(run.target.runs, run)
+	for _, target := range append(run.helpers, run.target) {
+		if target != nil {
+			target.arrivals = append(target.arrivals, w.now)
+		}
+	}
+	if w.rejects > 0 && w.rng.Float64() < w.rejects {
+		run.report(OutcomeNotRun)
+		return
+	}
 	w.after(worldPrefill+time.Duration(w.rng.Int64N(int64(worldPrefill))), run.begin)
 }
 
@@ -313,7 +331,8 @@
 	if run.ended {
 		return
 	}
-	w.after(worldHop, func() { run.instance.step(Progress{Attempt: run.attempt, EventID: fmt.Sprint(id)}) })
+	limit := run.target.limit
+	w.after(worldHop, func() { run.instance.step(Progress{Attempt: run.attempt, EventID: fmt.Sprint(id), Limit: limit}) })
 	if id == 12 {
 		run.report(OutcomeComplete)
 		return
