--- a/internal/fleet/crash.go
+++ b/internal/fleet/crash.go
@@ -27,15 +27,6 @@
 	quarantineRetryAfter = time.Minute
 )
 
-// CrashNews is what instances tell one another of requests that crash targets. A
-// statement that is repeated changes nothing.
-type CrashNews struct {
-	_         struct{} `cbor:",toarray"`
-	Crashes   []quarantine.Crash
-	Verdicts  []quarantine.Verdict
-	Survivals []quarantine.Survival
-}
-
 // reportedCrash is a crash that this instance has told its peers.
 type reportedCrash struct {
 	quarantine.Crash
@@ -190,7 +181,7 @@
 		FailureDomain: target.FailureDomain, Suspects: suspects,
 	}
 	c.reportedCrashes = append(c.reportedCrashes, reportedCrash{crash, c.now})
-	news := c.crashNews()
+	news := c.pendingNews()
 	news.Crashes = append(news.Crashes, crash)
 	for _, fp := range c.recordCrash(crash) {
 		c.announcedVerdicts[fp] = true
@@ -218,71 +209,9 @@
 		c.log("fingerprint-released", "fingerprint", formatFingerprint(fp))
 		c.incrementCounter("fingerprints", "released")
 		if ownSurvival || c.announcedVerdicts[fp] {
-			news := c.crashNews()
+			news := c.pendingNews()
 			news.Survivals = append(news.Survivals, c.culprits.LastSurvival(c.now, fp))
 		}
 		delete(c.announcedVerdicts, fp)
 	}
 }
-
-// crashNews returns the pending news for all peers and schedules their message.
-func (c *Core) crashNews() *CrashNews {
-	if c.outbox.pending.Crashes == nil {
-		c.outbox.pending.Crashes = &CrashNews{}
-	}
-	c.scheduleGossip()
-	return c.outbox.pending.Crashes
-}
-
-// addSurvivals adds survivals to a message.
-func (g *Gossip) addSurvivals(survivals ...quarantine.Survival) {
-	if len(survivals) == 0 {
-		return
-	}
-	if g.Crashes == nil {
-		g.Crashes = &CrashNews{}
-	}
-	g.Crashes.Survivals = append(g.Crashes.Survivals, survivals...)
-}
-
-// stateCrashes adds the verdicts and this instance's latest crashes to a full message.
-func (c *Core) stateCrashes(g *Gossip) {
-	for len(c.reportedCrashes) > maxRepeatedCrashes || len(c.reportedCrashes) > 0 && c.now-c.reportedCrashes[0].at > crashRepeatTime {
-		c.reportedCrashes = c.reportedCrashes[1:]
-	}
-	news := CrashNews{Verdicts: c.culprits.Verdicts(c.now)}
-	for _, reported := range c.reportedCrashes {
-		crash := reported.Crash
-		crash.Age = c.now - reported.at
-		news.Crashes = append(news.Crashes, crash)
-	}
-	if len(news.Crashes)+len(news.Verdicts) > 0 {
-		g.Crashes = &news
-	}
-}
-
-// applyCrashNews applies a peer's news. A verdict against a fingerprint with which a
-// run has survived since is answered by that survival.
-func (c *Core) applyCrashNews(from string, news *CrashNews) {
-	for _, survival := range news.Survivals {
-		fps := []quarantine.Fingerprint{survival.Fingerprint}
-		c.recordReleases(c.culprits.RecordSurvival(c.now-survival.Age, fps), false)
-	}
-	for _, crash := range news.Crashes {
-		c.recordCrash(crash)
-	}
-	var answer Gossip
-	for _, v := range news.Verdicts {
-		survival, adopted := c.culprits.AdoptVerdict(c.now, v)
-		if survival != nil {
-			answer.addSurvivals(*survival)
-		}
-		if adopted {
-			c.log("fingerprint-blocked", "fingerprint", formatFingerprint(v.Fingerprint), "told_by", from)
-			c.incrementCounter("fingerprints", "adopted")
-		}
-	}
-	if answer.Crashes != nil {
-		c.emit(SendGossip{Peer: from, Gossip: answer})
-	}
-}
--- a/internal/fleet/crash_test.go
+++ b/internal/fleet/crash_test.go
@@ -270,7 +270,7 @@
 func TestRepeatedRequestIsRefusedAndItsPartsAreNot(t *testing.T) {
 	h := newHarness(t, 8)
 	crash := func(target string, request uint64) {
-		h.step(PeerGossip{From: "front-2", Gossip: Gossip{Crashes: &CrashNews{Crashes: []quarantine.Crash{{
+		h.step(PeerGossip{From: "front-2", Gossip: Gossip{News: &News{Crashes: []quarantine.Crash{{
 			Death: quarantine.Death{Target: target}, FailureDomain: target,
 			Suspects: []quarantine.Fingerprint{quarantine.RequestFingerprint(request), quarantine.PartFingerprint(7)},
 		}}}}})
--- /dev/null
+++ b/internal/fleet/news.go
@@ -0,0 +1,74 @@
+package fleet
+
+import "github.com/medlardeck/medlardeck/internal/quarantine"
+
+// News is what instances tell one another besides loads and failed targets. Statements
+// that are repeated change nothing.
+type News struct {
+	_         struct{} `cbor:",toarray"`
+	Crashes   []quarantine.Crash
+	Verdicts  []quarantine.Verdict
+	Survivals []quarantine.Survival
+}
+
+// pendingNews returns the pending news for all peers and schedules their message.
+func (c *Core) pendingNews() *News {
+	if c.outbox.pending.News == nil {
+		c.outbox.pending.News = &News{}
+	}
+	c.scheduleGossip()
+	return c.outbox.pending.News
+}
+
+// addSurvivals adds survivals to a message.
+func (g *Gossip) addSurvivals(survivals ...quarantine.Survival) {
+	if len(survivals) == 0 {
+		return
+	}
+	if g.News == nil {
+		g.News = &News{}
+	}
+	g.News.Survivals = append(g.News.Survivals, survivals...)
+}
+
+// stateNews adds what this instance knows to a full message.
+func (c *Core) stateNews(g *Gossip) {
+	for len(c.reportedCrashes) > maxRepeatedCrashes || len(c.reportedCrashes) > 0 && c.now-c.reportedCrashes[0].at > crashRepeatTime {
+		c.reportedCrashes = c.reportedCrashes[1:]
+	}
+	news := News{Verdicts: c.culprits.Verdicts(c.now)}
+	for _, reported := range c.reportedCrashes {
+		crash := reported.Crash
+		crash.Age = c.now - reported.at
+		news.Crashes = append(news.Crashes, crash)
+	}
+	if len(news.Crashes)+len(news.Verdicts) > 0 {
+		g.News = &news
+	}
+}
+
+// applyNews applies a peer's news. A verdict against a fingerprint with which a
+// run has survived since is answered by that survival.
+func (c *Core) applyNews(from string, news *News) {
+	for _, survival := range news.Survivals {
+		fps := []quarantine.Fingerprint{survival.Fingerprint}
+		c.recordReleases(c.culprits.RecordSurvival(c.now-survival.Age, fps), false)
+	}
+	for _, crash := range news.Crashes {
+		c.recordCrash(crash)
+	}
+	var answer Gossip
+	for _, v := range news.Verdicts {
+		survival, adopted := c.culprits.AdoptVerdict(c.now, v)
+		if survival != nil {
+			answer.addSurvivals(*survival)
+		}
+		if adopted {
+			c.log("fingerprint-blocked", "fingerprint", formatFingerprint(v.Fingerprint), "told_by", from)
+			c.incrementCounter("fingerprints", "adopted")
+		}
+	}
+	if answer.News != nil {
+		c.emit(SendGossip{Peer: from, Gossip: answer})
+	}
+}
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -42,15 +42,14 @@
 	// FailedTargets lists the ids of targets at which a request failed without an
 	// answer.
 	FailedTargets []string
-	// Crashes is what the sender knows of requests that crash targets; nil if there is
-	// nothing to tell.
-	Crashes *CrashNews
+	// News is nil if there is none.
+	News *News
 	// LeavingTargets lists the ids of targets that are leaving.
 	LeavingTargets []string
 }
 
 func (g *Gossip) isEmpty() bool {
-	return !g.Full && len(g.Loads)+len(g.FirstEvents)+len(g.EndedLoads)+len(g.FailedTargets)+len(g.LeavingTargets) == 0 && g.Crashes == nil
+	return !g.Full && len(g.Loads)+len(g.FirstEvents)+len(g.EndedLoads)+len(g.FailedTargets)+len(g.LeavingTargets) == 0 && g.News == nil
 }
 
 // peer is another instance.
@@ -152,7 +151,7 @@
 	for _, domain := range c.gossipDomains() {
 		g := c.fullGossip(domain)
 		g.FailedTargets = c.outbox.pending.FailedTargets
-		if pending := c.outbox.pending.Crashes; pending != nil {
+		if pending := c.outbox.pending.News; pending != nil {
 			g.addSurvivals(pending.Survivals...)
 		}
 		c.emit(SendGossip{Domain: domain, Gossip: g})
@@ -186,7 +185,7 @@
 			g.LeavingTargets = append(g.LeavingTargets, target.ID)
 		}
 	}
-	c.stateCrashes(&g)
+	c.stateNews(&g)
 	slices.SortFunc(g.Loads, func(a, b TargetLoad) int { return int(int64(a.Key) - int64(b.Key)) })
 	slices.Sort(g.LeavingTargets)
 	return g
@@ -243,8 +242,8 @@
 		}
 	}
 	c.applyPeerWarnings(g)
-	if g.Crashes != nil {
-		c.applyCrashNews(ev.From, g.Crashes)
+	if g.News != nil {
+		c.applyNews(ev.From, g.News)
 	}
 }
 
--- a/internal/fleet/request_test.go
+++ b/internal/fleet/request_test.go
@@ -112,7 +112,7 @@
 // peerCrash returns the news of a crash that a peer saw, with a whole request as the
 // suspect.
 func peerCrash(target string, fingerprint uint64) Gossip {
-	return Gossip{Crashes: &CrashNews{Crashes: []quarantine.Crash{{
+	return Gossip{News: &News{Crashes: []quarantine.Crash{{
 		Death: quarantine.Death{Target: target}, FailureDomain: target,
 		Suspects: []quarantine.Fingerprint{quarantine.RequestFingerprint(fingerprint)},
 	}}}}
--- a/internal/fleet/sharing_test.go
+++ b/internal/fleet/sharing_test.go
@@ -73,7 +73,7 @@
 	h.advance(2 * gossipDelay)
 	var told []string
 	for _, g := range h.gossips {
-		if len(g.Gossip.FailedTargets) > 0 && g.Gossip.Crashes != nil && len(g.Gossip.Crashes.Crashes) > 0 {
+		if len(g.Gossip.FailedTargets) > 0 && g.Gossip.News != nil && len(g.Gossip.News.Crashes) > 0 {
 			told = append(told, g.Domain)
 		}
 	}
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -42,7 +42,7 @@
 	reached  map[uint64][]time.Duration
 	requests []*worldRequest
 	rejects  float64 // share of the requests that targets reject
-	refusals int // of requests without a crashing part, by quarantine
+	refusals int     // of requests without a crashing part, by quarantine
 }
 
 type worldInstance struct {
