quarantine: reports and memory of crashes are bounded by what may matter

A report of a crash named all fingerprints of the runs there; with long lists of parts twenty reports would not fit a datagram, and the loads beside them were dropped with it. A report names up to 192 fingerprints, those with which no run has survived first, and a message up to 16 reports. Survivals of whole requests, most of which come once, are kept only if something is known against them; expired entries are removed every ten seconds instead of with each message.

--- a/internal/fleet/crash.go
+++ b/internal/fleet/crash.go
@@ -19,9 +19,11 @@
 	// A request that crashes its target does so when its answer begins.
 	survivalTime = 500 * time.Millisecond
 	// crashRepeatTime is how long full messages repeat a crash, in case that earlier
-	// messages were lost, and maxRepeatedCrashes the number of crashes in one.
+	// messages were lost. maxRepeatedCrashes and maxPendingCrashes bound the crashes in
+	// one message, which has to fit a datagram.
 	crashRepeatTime    = 3 * fullGossipInterval
 	maxRepeatedCrashes = 8
+	maxPendingCrashes  = 16
 	// quarantineRetryAfter is the Retry-After of a refused request that would crash
 	// its target.
 	quarantineRetryAfter = time.Minute
@@ -178,11 +180,13 @@
 func (c *Core) reportCrash(target Target, suspects []quarantine.Fingerprint) {
 	crash := quarantine.Crash{
 		Death:         quarantine.Death{Target: target.ID, Incarnation: uint64(target.StartedMS)},
-		FailureDomain: target.FailureDomain, Suspects: suspects,
+		FailureDomain: target.FailureDomain, Suspects: c.culprits.SelectSuspects(suspects),
 	}
 	c.reportedCrashes = append(c.reportedCrashes, reportedCrash{crash, c.now})
 	news := c.pendingNews()
-	news.Crashes = append(news.Crashes, crash)
+	if len(news.Crashes) < maxPendingCrashes {
+		news.Crashes = append(news.Crashes, crash)
+	}
 	for _, fp := range c.recordCrash(crash) {
 		c.announcedVerdicts[fp] = true
 		news.Verdicts = append(news.Verdicts, quarantine.Verdict{Fingerprint: fp})
--- a/internal/quarantine/culprits.go
+++ b/internal/quarantine/culprits.go
@@ -25,8 +25,10 @@
 	// maxCrashes, maxSuspects and maxVerdicts limit what is kept: crashes, suspects of
 	// one crash, and blocked fingerprints.
 	maxCrashes  = 128
-	maxSuspects = 256
+	maxSuspects = 192
 	maxVerdicts = 256
+	// expiryInterval is the time between two removals of expired entries.
+	expiryInterval = 10 * time.Second
 )
 
 // Crash is the end of a target with the fingerprints of the runs that may have caused
@@ -72,6 +74,7 @@
 	// survivedAt holds the times of the last survived runs.
 	survivedAt map[Fingerprint]time.Duration
 	verdicts   map[Fingerprint]*verdict
+	expiredAt  time.Duration // when expired entries were last removed
 }
 
 // crash is the local record of a Crash.
@@ -114,6 +117,20 @@
 	return c.updateVerdicts(now)
 }
 
+// SelectSuspects returns up to maxSuspects distinct ones of the fingerprints of runs
+// that a crash ended: those with which no run has survived first.
+func (c *Culprits) SelectSuspects(fps []Fingerprint) []Fingerprint {
+	selected := slices.Compact(slices.Sorted(slices.Values(fps)))
+	proven := func(fp Fingerprint) int {
+		if _, ok := c.survivedAt[fp]; ok {
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(selected, func(a, b Fingerprint) int { return cmp.Compare(proven(a), proven(b)) })
+	return selected[:min(len(selected), maxSuspects)]
+}
+
 // mayBeCulprit reports whether a fingerprint is blocked or has enough crashes to be.
 func (c *Culprits) mayBeCulprit(fp Fingerprint) bool {
 	count, _ := c.incidents(fp)
@@ -281,6 +298,9 @@
 func (c *Culprits) RecordSurvival(at time.Duration, fps []Fingerprint) []Fingerprint {
 	var released []Fingerprint
 	for _, fp := range fps {
+		if fp&requestBit != 0 && !c.mayBeSuspect(fp) {
+			continue // most requests come once
+		}
 		c.survivedAt[fp] = max(c.survivedAt[fp], at)
 		if c.verdicts[fp] == nil {
 			continue
@@ -294,6 +314,11 @@
 	return released
 }
 
+// mayBeSuspect reports whether anything is known against a fingerprint.
+func (c *Culprits) mayBeSuspect(fp Fingerprint) bool {
+	return c.verdicts[fp] != nil || slices.ContainsFunc(c.crashes, func(record *crash) bool { return record.suspects[fp] })
+}
+
 // LastSurvival returns the last survival of a fingerprint that has been released.
 func (c *Culprits) LastSurvival(now time.Duration, fp Fingerprint) Survival {
 	return Survival{Fingerprint: fp, Age: now - c.survivedAt[fp]}
@@ -364,6 +389,10 @@
 // expire removes crashes and verdicts that are older than SuspectTTL, and survived
 // runs older than ProvenTTL.
 func (c *Culprits) expire(now time.Duration) {
+	if now-c.expiredAt < expiryInterval {
+		return
+	}
+	c.expiredAt = now
 	c.crashes = slices.DeleteFunc(c.crashes, func(record *crash) bool { return now-record.at > SuspectTTL })
 	maps.DeleteFunc(c.verdicts, func(_ Fingerprint, known *verdict) bool { return now-known.seenAt > SuspectTTL })
 	maps.DeleteFunc(c.survivedAt, func(_ Fingerprint, at time.Duration) bool { return now-at > ProvenTTL })
--- a/internal/quarantine/culprits_test.go
+++ b/internal/quarantine/culprits_test.go
@@ -103,6 +103,21 @@
 	must.SliceEmpty(t, c.crashes)
 }
 
+// The targets of a busy fleet run more parts than a report may name: those that are
+// known to be sound are left out first.
+func TestReportsNameUnprovenSuspectsFirst(t *testing.T) {
+	c := NewCulprits()
+	var fps []Fingerprint
+	for fp := range Fingerprint(2 * maxSuspects) {
+		fps = append(fps, fp, fp)
+	}
+	c.RecordSurvival(time.Second, fps[:2*maxSuspects])
+	selected := c.SelectSuspects(fps)
+	must.Len(t, maxSuspects, selected)
+	must.Eq(t, Fingerprint(maxSuspects), selected[0])
+	must.Eq(t, Fingerprint(2*maxSuspects-1), selected[maxSuspects-1])
+}
+
 // Requests with ever new fingerprints do not let the memory grow.
 func TestCulpritsAreBounded(t *testing.T) {
 	c := NewCulprits()
