--- a/internal/fleet/crash_test.go
+++ b/internal/fleet/crash_test.go
@@ -97,6 +97,7 @@
 // answer them. They are refused within stableWindow of the fifth crash, and sound
 // requests that share their other parts are not.
 func TestCrashingPartIsRefusedAndSoundRequestsAreServed(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(12) {
 		w := newFleetWorld(t, seed, 4, 16)
 		w.sendSoundRequests(36, 40*time.Second)
@@ -124,6 +125,7 @@
 
 // Messages between instances are lost: what one has learnt still reaches the others.
 func TestCrashingPartIsRefusedThoughMessagesAreLost(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(6) {
 		w := newFleetWorld(t, 100+seed, 6, 18)
 		w.lossRate = 0.3
@@ -137,6 +139,7 @@
 
 // Two parts crash targets at once, some requests have both.
 func TestTwoCrashingPartsAreRefused(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(6) {
 		w := newFleetWorld(t, 200+seed, 4, 20)
 		w.sendSoundRequests(36, 30*time.Second)
@@ -157,6 +160,7 @@
 // Targets also end for other reasons, and connections are reset: neither hides the
 // crashes of a part nor puts sound parts under suspicion.
 func TestCrashesAreToldFromOtherEndsOfTargets(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(6) {
 		w := newFleetWorld(t, 300+seed, 4, 20)
 		w.sendSoundRequests(36, 40*time.Second)
@@ -172,6 +176,7 @@
 
 // Targets end and a failure domain is cut off, without any crashing request.
 func TestEndsOfTargetsAloneBlockNothing(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(6) {
 		w := newFleetWorld(t, 400+seed, 6, 18)
 		w.sendSoundRequests(50, 40*time.Second)
@@ -192,6 +197,7 @@
 
 // Instances that restart, or that join later, know what the others have learnt.
 func TestRestartedInstancesKnowCrashingParts(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(6) {
 		w := newFleetWorld(t, 500+seed, 6, 18)
 		w.sendSoundRequests(36, 40*time.Second)
@@ -208,6 +214,7 @@
 
 // A failure domain is cut off while the others learn; when it is back it knows at once.
 func TestDomainBackFromACutKnowsCrashingParts(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(6) {
 		w := newFleetWorld(t, 600+seed, 6, 18)
 		w.sendSoundRequests(36, 40*time.Second)
@@ -227,6 +234,7 @@
 // One trial finds out that it is sound, and one crash does not make up for the runs
 // since.
 func TestPartThatCrashesNoMoreIsServedAgain(t *testing.T) {
+	t.Parallel()
 	w := newFleetWorld(t, 700, 4, 16)
 	w.sendSoundRequests(10, 30*time.Minute)
 	w.sendCrashingRequests(crashingPart, 2, 5*time.Second, 30*time.Minute)
@@ -251,6 +259,7 @@
 
 // Many instances each send a first crashing request before any can know.
 func TestManyInstancesLearnOfACrashingPartAtOnce(t *testing.T) {
+	t.Parallel()
 	w := newFleetWorld(t, 800, 48, 96)
 	w.sendSoundRequests(200, 15*time.Second)
 	w.after(4*time.Second, func() {
@@ -320,6 +329,7 @@
 
 // Each request has parts of its own: neither memory nor messages grow without bound.
 func TestManyPartsAreForgotten(t *testing.T) {
+	t.Parallel()
 	w := newFleetWorld(t, 900, 2, 8)
 	var next uint64 = 1000
 	w.repeat(20*time.Millisecond, time.Minute, func() {
--- a/internal/fleet/limit_test.go
+++ b/internal/fleet/limit_test.go
@@ -69,6 +69,7 @@
 // Targets name limits: all instances together keep to them, helpers' parts, retries and
 // rejected requests included, and go on using the targets.
 func TestNamedLimitHoldsForTheSumOfAllInstances(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(8) {
 		w := newFleetWorld(t, 1000+seed, 4, 16)
 		w.rejects = 0.1
@@ -87,6 +88,7 @@
 
 // Instances restart and join, and messages are lost: none of it lets a burst through.
 func TestNamedLimitHoldsAroundRestarts(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(4) {
 		w := newFleetWorld(t, 1100+seed, 5, 6)
 		w.lossRate = 0.2
@@ -107,6 +109,7 @@
 // A cut-off domain shares the limit among the instances that it still hears. Once it is
 // back, the sum holds again.
 func TestNamedLimitHoldsAfterACut(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(4) {
 		w := newFleetWorld(t, 1200+seed, 6, 6)
 		w.nameLimit(1, 2, 3*time.Second)
@@ -122,6 +125,7 @@
 
 // A limit is lowered, ends and is named again.
 func TestNamedLimitChangesAndEnds(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(4) {
 		w := newFleetWorld(t, 1300+seed, 4, 4)
 		w.sendSoundRequests(40, 60*time.Second)
@@ -145,6 +149,7 @@
 
 // A limit is far below one request a second for each of many instances: few share it.
 func TestSmallLimitHoldsForManyInstances(t *testing.T) {
+	t.Parallel()
 	for _, instances := range []int{30, 60} {
 		w := newFleetWorld(t, 1400, instances, 24)
 		limits := []float64{0, 0.3, 1, 2.5}
