fleetnode: a planned stop no longer cuts requests that arrive on idle connections

Cause: net/http counts a connection as idle until it has read the whole head of the next request, so SetKeepAlivesEnabled(false) and Shutdown may close it while the request is handed on. The class of fault: a state that is read in one goroutine and acted on in another.

The listener now ends idle connections by the deadline of their pending read: either the read gets bytes, and the request is served, or it gets none, and the server closes the connection itself. Connections that become idle later end the same way, and the stop waits for all others instead of calling Shutdown.

--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -86,6 +86,7 @@
 	gossip           *gossip
 	exchange         *snapshotExchanger
 	callerServer     *http.Server
+	callers          *callerListener
 	auxiliaryServers []*http.Server
 	following        atomic.Bool // this instance follows the store
 	cancel           context.CancelFunc
@@ -234,7 +235,7 @@
 		Handler: i.node, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: 64 << 10,
 	}
-	if err := i.serve(i.callerServer, s.CallersAddress); err != nil {
+	if err := i.serveCallers(s.CallersAddress); err != nil {
 		return err
 	}
 	ready := mux.NewRouter()
@@ -258,20 +259,34 @@
 	return i.serve(server, i.opts.MetricsAddress)
 }
 
+// serveCallers listens for callers and serves them in the background.
+func (i *Instance) serveCallers(address string) error {
+	var err error
+	if i.callers, err = listenCallers(address); err != nil {
+		return err
+	}
+	i.callerServer.ConnState = i.callers.recordState
+	go i.serveListener(i.callerServer, i.callers)
+	return nil
+}
+
 // serve listens at an address and serves it in the background.
 func (i *Instance) serve(server *http.Server, address string) error {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return fmt.Errorf("listen at %s: %w", address, err)
 	}
-	go func() {
-		if err := server.Serve(listener); err != nil && i.ctx.Err() == nil {
-			i.opts.Log.Info("listener-closed", "address", address, "cause", err.Error())
-		}
-	}()
+	go i.serveListener(server, listener)
 	return nil
 }
 
+// serveListener serves a listener until it is closed.
+func (i *Instance) serveListener(server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); err != nil && i.ctx.Err() == nil {
+		i.opts.Log.Info("listener-closed", "address", listener.Addr().String(), "cause", err.Error())
+	}
+}
+
 // Reload applies changed settings. Only new seeds take effect; the other
 // settings apply from the next start.
 func (i *Instance) Reload(s Settings) {
@@ -289,16 +304,19 @@
 	begin := time.Now()
 	i.node.Step(fleet.Stop{BalancerDelay: balancerLag, GracePeriod: grace})
 	time.Sleep(balancerLag)
-	// Responses now close their connections, so that callers on persistent
-	// connections send their next request to another instance.
-	i.callerServer.SetKeepAlivesEnabled(false)
+	// Responses close their connections since the stop began. Callers on those that
+	// are still idle send their next request to another instance.
+	i.callers.closeIdle()
 	for time.Since(begin) < grace-listenerCloseMargin && !i.node.IdleFor(idlePeriod) {
 		time.Sleep(idlePollInterval)
 	}
-	ctx, cancel := context.WithTimeout(i.ctx, grace-time.Since(begin))
-	defer cancel()
-	err := i.callerServer.Shutdown(ctx)
-	i.opts.Log.Info("stopped", "instance", i.opts.Settings.Name, "cut_short", err != nil)
+	if err := i.callers.Close(); err != nil {
+		i.opts.Log.Info("listener-close-failed", "cause", err.Error())
+	}
+	for time.Since(begin) < grace && i.callers.isBusy() {
+		time.Sleep(idlePollInterval)
+	}
+	i.opts.Log.Info("stopped", "instance", i.opts.Settings.Name, "cut_short", i.callers.isBusy())
 	i.Close()
 }
 
