quarantine: Admit says whether a request runs, is a trial, or is refused

Blocked reported two facts and set a third through its callback. No change of behaviour but one: of two verdicts on one request both are renewed, as before, and a trial is used up by a request that the other one refuses.

Tests of quarantine, fleet and fleetnode pass.

--- a/internal/fleet/crash.go
+++ b/internal/fleet/crash.go
@@ -68,15 +68,15 @@
 	if a.trial {
 		return false
 	}
-	fp, blocked := c.culprits.Blocked(c.now, a.fingerprints, func(fp quarantine.Fingerprint) bool {
-		a.trial = c.ownsTrial(fp)
-		return a.trial
-	})
-	if blocked {
-		a.trial = false
+	admission, fp := c.culprits.Admit(c.now, a.fingerprints, c.ownsTrial)
+	switch admission {
+	case quarantine.Trial:
+		a.trial = true
+		c.log("request-on-trial", "request", a.arrival.ID, "fingerprint", formatFingerprint(fp))
+	case quarantine.Refused:
 		c.log("request-blocked", "request", a.arrival.ID, "fingerprint", formatFingerprint(fp))
 	}
-	return blocked
+	return admission == quarantine.Refused
 }
 
 // ownsTrial reports whether this instance runs the trials of a fingerprint. All
--- a/internal/quarantine/culprits.go
+++ b/internal/quarantine/culprits.go
@@ -34,7 +34,6 @@
 // Crash is the end of a target with the fingerprints of the runs that may have caused
 // it. Reports of the same death add up.
 type Crash struct {
-	_             struct{} `cbor:",toarray"`
 	_             struct{} `cbor:",toarray"`
 	Death         Death
 	FailureDomain string
@@ -45,7 +44,6 @@
 
 // Verdict says that requests with a fingerprint are blocked.
 type Verdict struct {
-	_           struct{} `cbor:",toarray"`
 	_           struct{} `cbor:",toarray"`
 	Fingerprint Fingerprint
 	// EvidenceAge is the time since the last crash that the fingerprint explains,
@@ -55,7 +53,6 @@
 
 // Survival says that a run with a fingerprint did not crash its target.
 type Survival struct {
-	_           struct{} `cbor:",toarray"`
 	_           struct{} `cbor:",toarray"`
 	Fingerprint Fingerprint
 	Age         time.Duration
@@ -349,30 +346,39 @@
 	return survival, adopted
 }
 
-// Blocked returns a blocked one of a request's fingerprints, if there is any. A verdict
-// holds as long as such requests come. Every TrialInterval since the last evidence,
-// mayTry is asked whether this instance may run one to see whether the fingerprint
-// still crashes targets.
-func (c *Culprits) Blocked(now time.Duration, fps []Fingerprint, mayTry func(Fingerprint) bool) (blocked Fingerprint, ok bool) {
-	var trials []*verdict
+// Admission says whether a request may run.
+type Admission int
+
+// Admissions of a request.
+const (
+	Admitted Admission = iota
+	// Trial admits one request with a blocked fingerprint, to see whether it still
+	// crashes targets.
+	Trial
+	Refused
+)
+
+// Admit decides on a request by its fingerprints and returns the blocked one that
+// decides, if any. A verdict holds as long as such requests come. Each TrialInterval
+// since the last evidence, mayTry is asked whether this instance may run a trial.
+func (c *Culprits) Admit(now time.Duration, fps []Fingerprint, mayTry func(Fingerprint) bool) (Admission, Fingerprint) {
+	admission, decisive := Admitted, Fingerprint(0)
 	for _, fp := range fps {
 		known := c.verdicts[fp]
 		if known == nil || now-known.seenAt > SuspectTTL {
 			continue
 		}
 		known.seenAt = now
-		if now-max(known.evidenceAt, known.trialAt) < TrialInterval || !mayTry(fp) {
-			blocked, ok = fp, true
+		if admission == Refused {
 			continue
 		}
-		trials = append(trials, known)
-	}
-	if !ok {
-		for _, known := range trials {
+		admission, decisive = Refused, fp
+		if now-max(known.evidenceAt, known.trialAt) >= TrialInterval && mayTry(fp) {
 			known.trialAt = now
+			admission = Trial
 		}
 	}
-	return blocked, ok
+	return admission, decisive
 }
 
 // Verdicts returns all verdicts, in ascending order of the fingerprints.
