--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -158,35 +158,36 @@
 // hear of each other agree on the sharers, which are among those that know the loads
 // at the target.
 func (c *Core) limitSharers(target *targetState) int {
-	limit := int(min(target.limit.rate(c.now), 1<<20)) + spareSharers
+	maxSharers := int(min(target.limit.rate(c.now), 1<<20)) + spareSharers
+	sharers, ahead, included := c.rankForTarget(target, func(domain string) bool { return c.followsLoads(domain, target) })
+	if sharers == 0 { // none of the domains that know the loads has an instance left
+		sharers, ahead, included = c.rankForTarget(target, func(string) bool { return true })
+	}
+	if !included || ahead >= maxSharers {
+		return 0
+	}
+	return min(sharers, maxSharers)
+}
+
+// rankForTarget counts the instances in touch in the eligible groups of peers, and those
+// among them that come before this one in the target's order of instances. included
+// says whether this one is counted.
+func (c *Core) rankForTarget(target *targetState, eligible func(domain string) bool) (count, ahead int, included bool) {
 	rank := func(name string) uint64 { return xxhash.Sum64String(target.ID + "/" + name) }
-	own := rank(c.opts.Name)
-	ownFollows := c.followsLoads(c.gossipDomain(), target)
-	followers, others, aheadFollowers, aheadOthers := 0, 1, 0, 0
-	if ownFollows {
-		followers, others = 1, 0
+	if included = eligible(c.gossipDomain()); included {
+		count = 1
 	}
+	own := rank(c.opts.Name)
 	for name, p := range c.peers {
-		if c.now-p.lastMessageAt > peerLoadTimeout {
+		if c.now-p.lastMessageAt > peerLoadTimeout || !eligible(c.gossipDomainOf(p)) {
 			continue
 		}
-		ahead := 0
+		count++
 		if rank(name) > own {
-			ahead = 1
-		}
-		if c.followsLoads(c.gossipDomainOf(p), target) {
-			followers, aheadFollowers = followers+1, aheadFollowers+ahead
-		} else {
-			others, aheadOthers = others+1, aheadOthers+ahead
+			ahead++
 		}
 	}
-	switch {
-	case followers > 0 && ownFollows && aheadFollowers < limit:
-		return min(followers, limit)
-	case followers == 0 && aheadOthers < limit:
-		return min(others, limit)
-	}
-	return 0
+	return count, ahead, included
 }
 
 // retryAfterNoTarget is the Retry-After of a request for which there is no target now.
