follow: a restored store is listed again in its new era

Callers saw: nothing yet; a confirmed configuration would not be in force, because a store that is restored from an older copy gives revisions out again. Once the rewritten revisions pass the one that an instance watches from, the watch returns no 410 and never reports what was written before. Fix: a position is a revision within an era, as all answers of the store name it. A watch in another era than its list ends, the list is read again at once and once more when what the copy lacks has been written again.

--- a/internal/fleetnode/exchange_test.go
+++ b/internal/fleetnode/exchange_test.go
@@ -40,7 +40,7 @@
 func TestTargetsFromPeerAreNotAnnouncedAgain(t *testing.T) {
 	var readerAnnounced, followerAnnounced int
 	follower, reader := newTestMirror(t, &followerAnnounced), newTestMirror(t, &readerAnnounced)
-	follower.HandleList([]follow.Item{{Key: "t/1", Revision: 7}}, 7)
+	follower.HandleList([]follow.Item{{Key: "t/1", Revision: 7}}, follow.Position{Revision: 7})
 	must.Eq(t, 1, followerAnnounced)
 
 	settings := &Settings{IP: "127.0.0.1"}
--- a/internal/fleetnode/mirror.go
+++ b/internal/fleetnode/mirror.go
@@ -86,8 +86,8 @@
 const settleDuration = 2200 * time.Millisecond
 
 // HandleList implements follow.Handler. Peers are told of the new versions.
-func (m *mirror) HandleList(items []follow.Item, revision uint64) {
-	m.applyList(items, revision)
+func (m *mirror) HandleList(items []follow.Item, position follow.Position) {
+	m.applyList(items, position.Revision)
 	m.onList()
 }
 
@@ -114,7 +114,7 @@
 }
 
 // HandleChanges implements follow.Handler.
-func (m *mirror) HandleChanges(items []follow.Item, revision uint64) {
+func (m *mirror) HandleChanges(items []follow.Item, position follow.Position) {
 	for _, item := range items {
 		if !strings.HasPrefix(item.Key, m.decoder.TargetsPrefix) {
 			m.handleOtherItem(item)
@@ -134,7 +134,7 @@
 		}
 	}
 	m.mu.Lock()
-	m.storeRevision = max(m.storeRevision, revision)
+	m.storeRevision = max(m.storeRevision, position.Revision)
 	m.mu.Unlock()
 	m.onChange()
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -1,9 +1,11 @@
 // Package follow keeps a copy of a part of the platform's store up to date. It
-// lists a prefix once and then watches it for changes; it recovers from
-// outages, compacted history and watches that stop receiving changes.
+// lists a prefix once and then watches it for changes; it recovers from outages,
+// compacted history, watches that stop receiving changes, and a store that is
+// restored from an older copy.
 package follow
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -13,6 +15,19 @@
 // changes.
 var ErrCompacted = errors.New("requested changes are no longer in the store's history")
 
+// ErrRestored is returned by a Source if the store was restored from an older copy
+// since the position from which changes were requested, or during a call.
+var ErrRestored = errors.New("the store was restored from an older copy")
+
+// Position is a moment in the life of a store. A store that is restored from an older
+// copy begins a new era, in which revisions are given out again.
+type Position struct{ Era, Revision uint64 }
+
+// Compare returns -1 if p is earlier than other, 1 if it is later, and 0 otherwise.
+func (p Position) Compare(other Position) int {
+	return cmp.Or(cmp.Compare(p.Era, other.Era), cmp.Compare(p.Revision, other.Revision))
+}
+
 // Item is one key of the store with its value.
 type Item struct {
 	Key   string
@@ -25,22 +40,23 @@
 
 // Source is the platform's store.
 type Source interface {
-	// List returns all items below a prefix and the store's revision.
-	List(ctx context.Context, prefix string) ([]Item, uint64, error)
-	// Watch returns the changes below a prefix after a revision, and the
-	// revision to continue from. It waits up to wait for the first change. It
-	// returns ErrCompacted if the store no longer has the changes.
-	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Item, uint64, error)
+	// List returns all items below a prefix and the store's position.
+	List(ctx context.Context, prefix string) ([]Item, Position, error)
+	// Watch returns the changes below a prefix after a position, and the
+	// position to continue from. It waits up to wait for the first change. It
+	// returns ErrCompacted if the store no longer has the changes, and ErrRestored
+	// if it is in another era.
+	Watch(ctx context.Context, prefix string, after Position, wait time.Duration) ([]Item, Position, error)
 }
 
 // Handler receives the items and changes that a Follower reads. All calls come
 // from one goroutine. HandleStatus comes before the items of the same response, so
 // that removals around an outage can be told from others.
 type Handler interface {
-	// HandleList receives all items as of a revision.
-	HandleList(items []Item, revision uint64)
+	// HandleList receives all items as of a position.
+	HandleList(items []Item, position Position)
 	// HandleChanges receives changes in their order.
-	HandleChanges(items []Item, revision uint64)
+	HandleChanges(items []Item, position Position)
 	// HandleStatus reports whether the store answered the last call, and the
 	// error if it did not.
 	HandleStatus(reachable bool, err error)
@@ -71,8 +87,8 @@
 	Source  Source
 	Prefix  string
 	Handler Handler
-	// RelistAfterOutage requests a full list relistDelay after an outage, since
-	// entries with leases expire and reappear around it.
+	// RelistAfterOutage requests a full list relistDelay after an outage or a
+	// restore, since entries expire or are missing and reappear around it.
 	RelistAfterOutage bool
 	// WatchTimeout is how long a watch waits for a change. It bounds the time
 	// until a watch that stopped receiving changes is noticed; shorter watches
@@ -87,7 +103,7 @@
 // It returns when ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	backoff := initialBackoff
-	var revision uint64
+	var position Position
 	listed := false
 	var relistAt time.Time
 	for ctx.Err() == nil {
@@ -96,26 +112,31 @@
 			sleep(ctx, activationPollInterval)
 			continue
 		}
+		last := position
 		var err error
 		if !listed {
-			revision, err = f.list(ctx)
+			position, err = f.list(ctx, last)
 			listed = err == nil
 		} else {
-			revision, err = f.watchChanges(ctx, revision, relistAt)
+			position, err = f.watchChanges(ctx, last, relistAt)
 		}
 		if ctx.Err() != nil {
 			return
 		}
 		switch {
 		case err == nil:
-			if backoff != initialBackoff && f.RelistAfterOutage {
+			restored := last.Era > 0 && position.Era > last.Era
+			if (backoff != initialBackoff || restored) && f.RelistAfterOutage {
 				relistAt = time.Now().Add(relistDelay)
 			}
 			backoff = initialBackoff
 			if !relistAt.IsZero() && !time.Now().Before(relistAt) {
 				listed, relistAt = false, time.Time{}
 			}
-		case errors.Is(err, ErrCompacted):
+		case errors.Is(err, ErrCompacted), errors.Is(err, ErrRestored):
+			if !listed {
+				sleep(ctx, initialBackoff) // the list itself failed
+			}
 			listed = false
 		default:
 			// If only watches fail, a list still shows the changes.
@@ -127,37 +148,41 @@
 	}
 }
 
-// list passes all items to the Handler and returns the store's revision.
-func (f *Follower) list(ctx context.Context) (uint64, error) {
+// list passes all items to the Handler and returns the store's position, or last if it
+// fails.
+func (f *Follower) list(ctx context.Context, last Position) (Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	items, revision, err := f.Source.List(ctx, f.Prefix)
+	items, position, err := f.Source.List(ctx, f.Prefix)
 	if err != nil {
-		return 0, err
+		return last, err
 	}
 	f.Handler.HandleStatus(true, nil)
-	f.Handler.HandleList(items, revision)
-	return revision, nil
+	f.Handler.HandleList(items, position)
+	return position, nil
 }
 
-// watchChanges waits for changes after a revision, passes them to the Handler
-// and returns the revision to continue from. It does not wait beyond relistAt,
+// watchChanges waits for changes after a position, passes them to the Handler
+// and returns the position to continue from. It does not wait beyond relistAt,
 // unless that is zero.
-func (f *Follower) watchChanges(ctx context.Context, after uint64, relistAt time.Time) (uint64, error) {
+func (f *Follower) watchChanges(ctx context.Context, after Position, relistAt time.Time) (Position, error) {
 	wait := f.WatchTimeout
 	if !relistAt.IsZero() {
 		wait = max(time.Millisecond, min(wait, time.Until(relistAt)))
 	}
-	items, revision, err := f.Source.Watch(ctx, f.Prefix, after, wait)
+	items, position, err := f.Source.Watch(ctx, f.Prefix, after, wait)
 	if err != nil {
 		return after, err
 	}
 	f.Handler.HandleStatus(true, nil)
 	if len(items) > 0 {
-		f.Handler.HandleChanges(items, revision)
+		f.Handler.HandleChanges(items, position)
 		sleep(ctx, changeBatchDelay)
 	}
-	return max(after, revision), nil
+	if position.Compare(after) < 0 {
+		return after, nil
+	}
+	return position, nil
 }
 
 // sleep waits for d or until ctx ends.
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -18,17 +18,18 @@
 	lists   int
 	items   []Item
 	listErr error
-	changes func(ctx context.Context, after uint64) ([]Item, uint64, error)
+	era     uint64
+	changes func(ctx context.Context, after Position) ([]Item, Position, error)
 }
 
-func (f *fakeStore) List(context.Context, string) ([]Item, uint64, error) {
+func (f *fakeStore) List(context.Context, string) ([]Item, Position, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lists++
-	return f.items, 10, f.listErr
+	return f.items, Position{f.era, 10}, f.listErr
 }
 
-func (f *fakeStore) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]Item, uint64, error) {
+func (f *fakeStore) Watch(ctx context.Context, _ string, after Position, wait time.Duration) ([]Item, Position, error) {
 	f.mu.Lock()
 	changes := f.changes
 	f.mu.Unlock()
@@ -50,7 +51,7 @@
 	reachableAtFirstList bool
 }
 
-func (r *recorder) HandleList([]Item, uint64) {
+func (r *recorder) HandleList([]Item, Position) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.listed++
@@ -59,7 +60,7 @@
 	}
 }
 
-func (r *recorder) HandleChanges(items []Item, _ uint64) {
+func (r *recorder) HandleChanges(items []Item, _ Position) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.changed = append(r.changed, items...)
@@ -106,10 +107,10 @@
 func TestRelistsAfterCompaction(t *testing.T) {
 	store, rec := &fakeStore{}, &recorder{}
 	compacted := true
-	store.changes = func(ctx context.Context, after uint64) ([]Item, uint64, error) {
+	store.changes = func(ctx context.Context, after Position) ([]Item, Position, error) {
 		if compacted {
 			compacted = false
-			return nil, 0, ErrCompacted
+			return nil, Position{}, ErrCompacted
 		}
 		sleep(ctx, 5*time.Millisecond)
 		return nil, after, nil
@@ -123,14 +124,15 @@
 func TestWatchResumesFromLastRevision(t *testing.T) {
 	store, rec := &fakeStore{}, &recorder{}
 	asked := make(chan uint64, 3)
-	store.changes = func(ctx context.Context, after uint64) ([]Item, uint64, error) {
+	store.changes = func(ctx context.Context, after Position) ([]Item, Position, error) {
 		select {
-		case asked <- after:
+		case asked <- after.Revision:
 		default:
 			<-ctx.Done()
-			return nil, 0, ctx.Err()
+			return nil, Position{}, ctx.Err()
 		}
-		return []Item{{Key: "k", Revision: after + 2}}, after + 2, nil
+		after.Revision += 2
+		return []Item{{Key: "k", Revision: after.Revision}}, after, nil
 	}
 	startFollower(t, &Follower{Source: store, Handler: rec, WatchTimeout: time.Second})
 	eventually(t, time.Second, func() bool { return rec.changeCount() == 3 })
@@ -142,10 +144,10 @@
 func TestRelistsAfterOutage(t *testing.T) {
 	store, rec := &fakeStore{}, &recorder{}
 	failed := false
-	store.changes = func(ctx context.Context, after uint64) ([]Item, uint64, error) {
+	store.changes = func(ctx context.Context, after Position) ([]Item, Position, error) {
 		if !failed {
 			failed = true
-			return nil, 0, errors.New("no answer")
+			return nil, Position{}, errors.New("no answer")
 		}
 		sleep(ctx, 20*time.Millisecond)
 		return nil, after, nil
@@ -180,10 +182,11 @@
 // for each change would exceed the call rate of the store.
 func TestChangesInQuickSuccessionTakeFewWatches(t *testing.T) {
 	var watches atomic.Int64
-	store := &fakeStore{changes: func(ctx context.Context, after uint64) ([]Item, uint64, error) {
+	store := &fakeStore{changes: func(ctx context.Context, after Position) ([]Item, Position, error) {
 		watches.Add(1)
 		sleep(ctx, 2*time.Millisecond) // the next change
-		return []Item{{Key: "a", Revision: after + 1}}, after + 1, nil
+		after.Revision++
+		return []Item{{Key: "a", Revision: after.Revision}}, after, nil
 	}}
 	rec := &recorder{}
 	startFollower(t, &Follower{Source: store, Handler: rec, WatchTimeout: time.Second})
@@ -194,8 +197,8 @@
 
 // If the store answers all calls but watches, changes are found by lists.
 func TestFailedWatchIsFollowedByAList(t *testing.T) {
-	store := &fakeStore{changes: func(context.Context, uint64) ([]Item, uint64, error) {
-		return nil, 0, errors.New("no response")
+	store := &fakeStore{changes: func(context.Context, Position) ([]Item, Position, error) {
+		return nil, Position{}, errors.New("no response")
 	}}
 	rec := &recorder{}
 	startFollower(t, &Follower{Source: store, Handler: rec, WatchTimeout: time.Second})
@@ -212,3 +215,25 @@
 	defer rec.mu.Unlock()
 	must.True(t, rec.reachableAtFirstList)
 }
+
+// Revisions of a restored store say nothing about what changed since the last one. What
+// is missing from the copy reappears later, as after an outage.
+func TestRelistsAtOnceAndLaterAfterARestore(t *testing.T) {
+	store, rec := &fakeStore{era: 1}, &recorder{}
+	store.changes = func(ctx context.Context, after Position) ([]Item, Position, error) {
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		if after.Era == 1 {
+			store.era = 2
+			return nil, Position{}, ErrRestored
+		}
+		sleep(ctx, 20*time.Millisecond)
+		return nil, after, nil
+	}
+	startFollower(t, &Follower{Source: store, Handler: rec, RelistAfterOutage: true, WatchTimeout: time.Second})
+	eventually(t, time.Second, func() bool { return rec.listCount() == 2 })
+	eventually(t, relistDelay+time.Second, func() bool { return rec.listCount() == 3 })
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	must.SliceNotContains(t, rec.reachable, false)
+}
