fleetnode: instances compare what they know of the store by era, then revision

Callers saw: nothing yet; instances that take targets from peers (all but two of a domain, and those that the store turns away) would not learn of new targets for as long as the restored store's revisions need to catch up. Cause: the copy kept the highest revision that it had ever seen, and peers compared only revisions. A restore lowers them. Fix: positions are compared by era first. In datagrams a position is one number whose high bits hold the era, so that instances of the version before can read it and compare it as before. Lists of an earlier era than the known one are ignored.

--- a/internal/fleetnode/exchange.go
+++ b/internal/fleetnode/exchange.go
@@ -19,8 +19,13 @@
 // minExchangeInterval is the minimum time between two requests for a snapshot.
 const minExchangeInterval = 300 * time.Millisecond
 
-// KnownVersions are the versions that the requesting instance already has.
-type KnownVersions struct{ ConfigVersion, StoreRevision uint64 }
+// KnownVersions are the versions that the requesting instance already has. Instances
+// that do not know of eras leave StoreEra zero.
+type KnownVersions struct{ ConfigVersion, StoreRevision, StoreEra uint64 }
+
+func (k KnownVersions) position() follow.Position {
+	return follow.Position{Era: k.StoreEra, Revision: k.StoreRevision}
+}
 
 // Snapshot is the part of an instance's store data that is newer than the
 // requester's.
@@ -28,8 +33,9 @@
 	Config   []byte // encoded as in the store; empty if the requester has it
 	Targets  []follow.Item
 	Revision uint64
-	// Settling is true shortly after an outage of the store, when targets that
-	// are missing from it may still reappear.
+	Era      uint64
+	// Settling is true shortly after an outage or a restore of the store, when targets
+	// that are missing from it may still reappear.
 	Settling bool
 }
 
@@ -39,13 +45,14 @@
 // Newer returns the configuration and the targets of this instance if they are
 // newer than the requester's.
 func (e *Exchange) Newer(known KnownVersions, reply *Snapshot) error {
-	config, targets, revision := e.mirror.snapshot()
+	config, targets, position := e.mirror.snapshot()
 	version, _ := e.mirror.versions()
 	if version > known.ConfigVersion {
 		reply.Config = config
 	}
-	if revision > known.StoreRevision {
-		reply.Targets, reply.Revision, reply.Settling = targets, revision, e.mirror.entriesSettling()
+	if position.Compare(known.position()) > 0 {
+		reply.Targets, reply.Revision, reply.Era = targets, position.Revision, position.Era
+		reply.Settling = e.mirror.entriesSettling()
 	}
 	return nil
 }
@@ -100,9 +107,9 @@
 // that follows the store itself requests only newer configurations, since it
 // gets targets from the store.
 func (x *snapshotExchanger) handlePeerVersions(peer netip.AddrPort, d *datagram) {
-	ownVersion, ownRevision := x.mirror.versions()
+	ownVersion, own := x.mirror.versions()
 	followsStore := x.followsStore()
-	if d.ConfigVersion <= ownVersion && (followsStore || d.StoreRevision <= ownRevision) {
+	if d.ConfigVersion <= ownVersion && (followsStore || d.StorePosition.position().Compare(own) <= 0) {
 		return
 	}
 	x.mu.Lock()
@@ -112,7 +119,7 @@
 	}
 	x.requestInFlight = true
 	x.nextRequestAt = time.Now().Add(minExchangeInterval)
-	go x.fetchSnapshot(netip.AddrPortFrom(peer.Addr(), uint16(x.port)), KnownVersions{ownVersion, ownRevision}, !followsStore)
+	go x.fetchSnapshot(netip.AddrPortFrom(peer.Addr(), uint16(x.port)), KnownVersions{ownVersion, own.Revision, own.Era}, !followsStore)
 }
 
 // fetchSnapshot requests a snapshot from a peer and applies it; targets only if
@@ -142,15 +149,16 @@
 	if len(snap.Config) > 0 {
 		x.mirror.adoptConfig(snap.Config)
 	}
-	if withTargets && snap.Revision > known.StoreRevision {
-		x.log.Info("targets-from-peer", "peer", peer.String(), "revision", snap.Revision,
+	position := follow.Position{Era: snap.Era, Revision: snap.Revision}
+	if withTargets && position.Compare(known.position()) > 0 {
+		x.log.Info("targets-from-peer", "peer", peer.String(), "era", snap.Era, "revision", snap.Revision,
 			"targets", len(snap.Targets), "settling", snap.Settling)
 		if snap.Settling {
-			// The store revision stays unchanged, so the request is repeated until
+			// The own position stays unchanged, so the request is repeated until
 			// the peer has settled.
 			x.mirror.addPeerTargets(snap.Targets)
 			return
 		}
-		x.mirror.applyList(snap.Targets, snap.Revision)
+		x.mirror.applyList(snap.Targets, position)
 	}
 }
--- a/internal/fleetnode/exchange_test.go
+++ b/internal/fleetnode/exchange_test.go
@@ -49,7 +49,27 @@
 	t.Cleanup(func() { must.NoError(t, exchange.listener.Close()) })
 	client := &snapshotExchanger{mirror: reader, log: logr.Discard()}
 	client.fetchSnapshot(netip.MustParseAddrPort(exchange.listener.Addr().String()), KnownVersions{}, true)
-	_, revision := reader.versions()
-	must.Eq(t, 7, revision)
+	_, position := reader.versions()
+	must.Eq(t, 7, position.Revision)
 	must.Eq(t, 0, readerAnnounced)
 }
+
+// An instance that missed a restore of the store, and lists it late or hears of it from
+// peers, must not replace or spread newer knowledge by that of the era before.
+func TestListOfAnEarlierEraIsIgnored(t *testing.T) {
+	var announced int
+	m := newTestMirror(t, &announced)
+	m.HandleList([]follow.Item{{Key: "t/1", Revision: 7}}, follow.Position{Era: 1, Revision: 70})
+	m.HandleList([]follow.Item{{Key: "t/2", Revision: 8}}, follow.Position{Era: 2, Revision: 30})
+	m.applyList([]follow.Item{{Key: "t/1", Revision: 7}}, follow.Position{Era: 1, Revision: 90})
+	_, targets, position := m.snapshot()
+	must.Eq(t, follow.Position{Era: 2, Revision: 30}, position)
+	must.Eq(t, []follow.Item{{Key: "t/2", Revision: 8}}, targets)
+}
+
+func TestPackedPositionsKeepTheirOrder(t *testing.T) {
+	before, after := follow.Position{Era: 1, Revision: 1 << 40}, follow.Position{Era: 2, Revision: 3}
+	must.Eq(t, before, packPosition(before).position())
+	must.Eq(t, after, packPosition(after).position())
+	must.Less(t, packPosition(after), packPosition(before))
+}
--- a/internal/fleetnode/gossip.go
+++ b/internal/fleetnode/gossip.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/medlardeck/medlardeck/internal/fleet"
+	"github.com/medlardeck/medlardeck/internal/follow"
 )
 
 // Limits of messages between instances.
@@ -30,15 +31,30 @@
 	// FollowsStore reports whether the sender follows the store and gets
 	// responses from it.
 	FollowsStore bool
-	// ConfigVersion and StoreRevision are the newest versions that the sender
-	// has.
-	ConfigVersion, StoreRevision uint64
+	// ConfigVersion and StorePosition are the newest that the sender has.
+	ConfigVersion uint64
+	StorePosition packedPosition
 	// Peers are addresses of instances that the sender knows; set only in
 	// messages that state all loads.
 	Peers  []netip.AddrPort
 	Gossip fleet.Gossip
 }
 
+// packedPosition is a position of the store as one number, which instances that do not
+// know of eras compare as a revision.
+type packedPosition uint64
+
+// revisionBits is the number of low bits of a packedPosition that hold the revision.
+const revisionBits = 44
+
+func packPosition(p follow.Position) packedPosition {
+	return packedPosition(p.Era<<revisionBits | p.Revision&(1<<revisionBits-1))
+}
+
+func (p packedPosition) position() follow.Position {
+	return follow.Position{Era: uint64(p) >> revisionBits, Revision: uint64(p) & (1<<revisionBits - 1)}
+}
+
 // gossip exchanges datagrams with the other instances of the fleet.
 type gossip struct {
 	name       string
@@ -50,7 +66,7 @@
 	// onMessage is called for each message.
 	onMessage func(peer netip.AddrPort, d *datagram)
 	// versions returns the newest versions that this instance has.
-	versions func() (configVersion, storeRevision uint64)
+	versions func() (configVersion uint64, position follow.Position)
 	// followsStore reports whether this instance follows the store and gets
 	// responses.
 	followsStore func() bool
@@ -138,7 +154,8 @@
 // receiver.
 func (g *gossip) send(m fleet.SendGossip) {
 	d := datagram{From: g.name, Domain: g.domain, FollowsStore: g.followsStore(), Gossip: m.Gossip}
-	d.ConfigVersion, d.StoreRevision = g.versions()
+	version, position := g.versions()
+	d.ConfigVersion, d.StorePosition = version, packPosition(position)
 	peers := g.recipients(m)
 	if m.Gossip.Full {
 		d.Peers = g.knownAddresses(maxAdvertisedPeers)
--- a/internal/fleetnode/mirror.go
+++ b/internal/fleetnode/mirror.go
@@ -37,11 +37,11 @@
 	mu               sync.Mutex
 	storeReachable   bool
 	storeStatusKnown bool      // HandleStatus has been called
-	storeRegainedAt  time.Time // end of the last outage
+	storeRegainedAt  time.Time // end of the last outage, or last restore
 	rawConfig        []byte
 	configVersion    uint64
 	targets          map[string]follow.Item
-	storeRevision    uint64
+	position         follow.Position // of the store, as of targets
 }
 
 func newMirror(d Decoder, node *forward.Node, log logr.Logger) *mirror {
@@ -74,26 +74,29 @@
 }
 
 // entriesSettling reports whether entries that expired during an outage of the
-// store may still reappear.
+// store, or that a restore has lost, may still reappear.
 func (m *mirror) entriesSettling() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return !m.storeRegainedAt.IsZero() && time.Since(m.storeRegainedAt) < settleDuration
 }
 
-// settleDuration is how long after an outage of the store expired entries may
-// reappear.
+// settleDuration is how long after an outage or a restore of the store missing entries
+// may reappear.
 const settleDuration = 2200 * time.Millisecond
 
 // HandleList implements follow.Handler. Peers are told of the new versions.
 func (m *mirror) HandleList(items []follow.Item, position follow.Position) {
-	m.applyList(items, position.Revision)
+	m.applyList(items, position)
 	m.onList()
 }
 
 // applyList replaces the targets by those of a list of the store, which this instance
-// or a peer has read.
-func (m *mirror) applyList(items []follow.Item, revision uint64) {
+// or a peer has read. A list of an era before the known one is ignored.
+func (m *mirror) applyList(items []follow.Item, position follow.Position) {
+	if !m.advanceEra(position) {
+		return
+	}
 	var targets []fleet.Target
 	listed := make(map[string]follow.Item)
 	for _, item := range items {
@@ -107,7 +110,8 @@
 		m.handleOtherItem(item)
 	}
 	m.mu.Lock()
-	m.targets, m.storeRevision = listed, max(m.storeRevision, revision)
+	m.targets = listed
+	m.advancePositionLocked(position)
 	m.mu.Unlock()
 	slices.SortFunc(targets, func(a, b fleet.Target) int { return strings.Compare(a.ID, b.ID) })
 	m.node.Step(fleet.TargetList{Targets: targets})
@@ -115,6 +119,9 @@
 
 // HandleChanges implements follow.Handler.
 func (m *mirror) HandleChanges(items []follow.Item, position follow.Position) {
+	if !m.advanceEra(position) {
+		return
+	}
 	for _, item := range items {
 		if !strings.HasPrefix(item.Key, m.decoder.TargetsPrefix) {
 			m.handleOtherItem(item)
@@ -134,11 +141,33 @@
 		}
 	}
 	m.mu.Lock()
-	m.storeRevision = max(m.storeRevision, position.Revision)
+	m.advancePositionLocked(position)
 	m.mu.Unlock()
 	m.onChange()
 }
 
+// advanceEra notes the era of a list or of changes. It returns false if a later one is known.
+func (m *mirror) advanceEra(position follow.Position) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch known := m.position.Era; {
+	case position.Era < known:
+		m.log.Info("store-list-ignored", "era", position.Era, "known_era", known)
+		return false
+	case position.Era > known && known > 0:
+		m.log.Info("store-restored", "era", position.Era, "revision", position.Revision, "known_revision", m.position.Revision)
+		m.storeRegainedAt = time.Now()
+	}
+	return true
+}
+
+// advancePositionLocked takes over a later position; m.mu must be held.
+func (m *mirror) advancePositionLocked(position follow.Position) {
+	if position.Compare(m.position) > 0 {
+		m.position = position
+	}
+}
+
 // addPeerTargets adds a peer's targets without removing those that the peer
 // lacks.
 func (m *mirror) addPeerTargets(items []follow.Item) {
@@ -191,20 +220,20 @@
 	}
 }
 
-// versions returns the newest configuration version and store revision.
-func (m *mirror) versions() (configVersion, revision uint64) {
+// versions returns the newest configuration version and position of the store.
+func (m *mirror) versions() (configVersion uint64, position follow.Position) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.configVersion, m.storeRevision
+	return m.configVersion, m.position
 }
 
-// snapshot returns the encoded configuration, the targets and their store
-// revision.
-func (m *mirror) snapshot() (config []byte, targets []follow.Item, revision uint64) {
+// snapshot returns the encoded configuration, the targets and their position in the
+// store.
+func (m *mirror) snapshot() (config []byte, targets []follow.Item, position follow.Position) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, item := range m.targets {
 		targets = append(targets, item)
 	}
-	return m.rawConfig, targets, m.storeRevision
+	return m.rawConfig, targets, m.position
 }
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -109,7 +109,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	i := &Instance{opts: opts, gossip: g, cancel: cancel, ctx: ctx}
-	g.versions = func() (uint64, uint64) { return 0, 0 }
+	g.versions = func() (uint64, follow.Position) { return 0, follow.Position{} }
 	g.followsStore = func() bool { return false }
 	messages := make(chan fleet.SendGossip, maxQueuedMessages)
 	i.node = forward.NewNode(forward.Options{
