fleetnode: an instance announces its address again after a restore of the store

Callers saw: nothing; an instance that had started in the seconds that a restore loses would stay unknown to those that start later and have no seed. Cause: the address was written once, at the start. Fix: a new era, seen in the store's answers or told by a peer, repeats the write after up to two seconds at random, so that hundreds of instances do not write at once.

--- a/internal/fleetnode/mirror.go
+++ b/internal/fleetnode/mirror.go
@@ -33,6 +33,8 @@
 	// onList is called after each list of the store, onChange after changes, so that
 	// peers learn of them at once.
 	onList, onChange func()
+	// onRestore is called when the store has lost its last writes.
+	onRestore func()
 
 	mu               sync.Mutex
 	storeReachable   bool
@@ -149,14 +151,19 @@
 // advanceEra notes the era of a list or of changes. It returns false if a later one is known.
 func (m *mirror) advanceEra(position follow.Position) bool {
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	switch known := m.position.Era; {
-	case position.Era < known:
-		m.log.Info("store-list-ignored", "era", position.Era, "known_era", known)
+	known := m.position
+	restored := known.Era > 0 && position.Era > known.Era
+	if restored {
+		m.position, m.storeRegainedAt = position, time.Now()
+	}
+	m.mu.Unlock()
+	if position.Era < known.Era {
+		m.log.Info("store-list-ignored", "era", position.Era, "known_era", known.Era)
 		return false
-	case position.Era > known && known > 0:
-		m.log.Info("store-restored", "era", position.Era, "revision", position.Revision, "known_revision", m.position.Revision)
-		m.storeRegainedAt = time.Now()
+	}
+	if restored {
+		m.log.Info("store-restored", "era", position.Era, "revision", position.Revision, "known_revision", known.Revision)
+		m.onRestore()
 	}
 	return true
 }
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -54,6 +54,9 @@
 	// follow the store. It lets the peers say that they follow it, and spreads the
 	// calls of a whole fleet that starts at once.
 	maxFollowDelay = 100 * time.Millisecond
+	// maxReannounceDelay bounds the random delay between a restore of the store and the
+	// next announcement.
+	maxReannounceDelay = 2 * time.Second
 	// instanceKeyPrefix is the prefix of the keys under which instances store
 	// their addresses.
 	instanceKeyPrefix = "instances/"
@@ -131,6 +134,7 @@
 	i.mirror.onPeerAddress = i.addPeerAddress
 	i.mirror.onList = func() { g.send(fleet.SendGossip{}) }
 	i.mirror.onChange = func() { g.send(fleet.SendGossip{Domain: s.FailureDomain}) }
+	i.mirror.onRestore = func() { go i.announceAgain() }
 	g.versions, g.followsStore = i.mirror.versions, i.followsStore
 	if i.exchange, err = listenExchange(s, i.mirror, i.followsStore, opts.Log); err != nil {
 		i.Close()
@@ -221,6 +225,16 @@
 	}
 }
 
+// announceAgain announces this instance once more after a random delay, which spreads
+// the writes of a fleet.
+func (i *Instance) announceAgain() {
+	select {
+	case <-i.ctx.Done():
+	case <-time.After(rand.N(maxReannounceDelay)):
+		i.announceWithRetry()
+	}
+}
+
 // announce stores this instance's address, where the other instances find it.
 func (i *Instance) announce(s *Settings) error {
 	address := net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort))
