fleet: targets that left stay gone when a restored store lists them again

Callers saw: nothing yet; requests would be sent to targets that drain or have ended (DRAIN), and targets that came in the lost seconds would get none for up to two seconds where nobody saw the store away. Cause: a target without loads was forgotten when it left, so its entry in the copy was a new target; and the list after a restore counted as complete. Evidence: TestTargetsThatLeftStayGoneInARestoredList, TestEarlierStartInARestoredListIsIgnored and TestTargetsMissingFromARestoredListStayInUse fail without the two checks (trial on a scratch copy) and pass with them. Fix: departures are remembered for five minutes. An entry no newer than the revision at which the era began is from the copy; it does not bring back a target that has left or an earlier start of one. The target's next heartbeat does. What the list lacks is gone only if it is missing after the time that entries need after an outage.

--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -225,7 +225,7 @@
 		}
 	}
 	if ev.Outcome == OutcomeMisdirected {
-		failedTarget.gone = true
+		c.setGone(failedTarget)
 		c.log("target-gone", "target", failedTarget.ID, "why", "address-reused")
 	} else {
 		failedTarget.health.recordFailure(c.now, 1, failedTarget != a.target)
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -76,7 +76,7 @@
 		roundRobin: make(map[string]int), peers: make(map[string]*peer),
 		retryBudgets: make(map[string]*retryBudget), culprits: quarantine.NewCulprits(), announcedVerdicts: make(map[quarantine.Fingerprint]bool), domains: make(map[string]*domainHealth),
 		targetChecks: make(map[incarnation]*targetCheck), demands: make(map[string]*demand), firstEventRatios: make(map[string]float64),
-		store: storeState{reachable: true},
+		store: storeState{reachable: true, departed: make(map[incarnation]time.Duration)},
 	}
 	c.updateInstanceDomains()
 	return c
@@ -106,6 +106,9 @@
 		c.syncTargets(ev.Targets)
 	case StoreReachability:
 		c.setStoreReachable(ev.Reachable)
+	case StoreRestored:
+		c.log("store-restored")
+		c.deferRemovals()
 	case RequestArrived:
 		c.handleRequestArrived(ev)
 	case Progress:
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -44,6 +44,9 @@
 	// StartedMS is the Unix time of its start in milliseconds: the same id with
 	// another start time is another incarnation.
 	StartedMS int64
+	// Outdated says that the platform's store has this entry from the copy that it was
+	// restored from: the target may have left since.
+	Outdated bool
 }
 
 // TargetListed reports that the platform lists a new or changed target.
@@ -59,6 +62,10 @@
 // StoreReachability reports whether the platform's store is reachable from this instance.
 type StoreReachability struct{ Reachable bool }
 
+// StoreRestored reports that the platform's store was restored from a copy, which lacks
+// its last changes. It comes before the list of the copy.
+type StoreRestored struct{}
+
 // RequestArrived reports that a caller's request has been received in full.
 type RequestArrived struct {
 	Request  RequestID
@@ -288,6 +295,7 @@
 func (TargetRemoved) fleetEvent()     {}
 func (TargetList) fleetEvent()        {}
 func (StoreReachability) fleetEvent() {}
+func (StoreRestored) fleetEvent()     {}
 func (RequestArrived) fleetEvent()    {}
 func (Progress) fleetEvent()          {}
 func (AttemptEnd) fleetEvent()        {}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -2,10 +2,15 @@
 
 import "time"
 
-// removalDelay is the time after a store outage in which targets whose entries
-// expired during the outage register again. A target that is still missing
-// afterwards is gone.
-const removalDelay = 2100 * time.Millisecond
+const (
+	// removalDelay is the time after a store outage in which targets whose entries
+	// expired during the outage register again. A target that is still missing
+	// afterwards is gone.
+	removalDelay = 2100 * time.Millisecond
+	// departureMemory is how long a target that has left is remembered: longer than the
+	// age of a copy from which the store is restored.
+	departureMemory = 5 * time.Minute
+)
 
 // storeState is what this instance knows of the platform's store.
 type storeState struct {
@@ -15,6 +20,8 @@
 	// pendingRemovals holds the ids of the targets that were removed before
 	// removalsFinalAt; nil when removals take effect at once.
 	pendingRemovals map[string]bool
+	// departed holds the targets that are known to have left, and when that became known.
+	departed map[incarnation]time.Duration
 }
 
 // setStoreReachable records whether the store is reachable. When it is reachable
@@ -29,6 +36,12 @@
 		return
 	}
 	c.log("store-regained")
+	c.deferRemovals()
+}
+
+// deferRemovals lets removals take effect only in removalDelay, for targets that have not
+// been listed again by then.
+func (c *Core) deferRemovals() {
 	c.store.removalsFinalAt = c.now + removalDelay
 	c.store.pendingRemovals = make(map[string]bool)
 	c.afterFunc(removalDelay, c.applyPendingRemovals)
@@ -49,8 +62,11 @@
 // updateTarget adds a listed target, replaces an earlier incarnation of it, or takes
 // over its changes.
 func (c *Core) updateTarget(t Target) {
-	delete(c.store.pendingRemovals, t.ID)
 	known := c.targets[t.ID]
+	if t.Outdated && (c.hasDeparted(t) || known != nil && known.StartedMS > t.StartedMS) {
+		return
+	}
+	delete(c.store.pendingRemovals, t.ID)
 	if known != nil && (known.StartedMS != t.StartedMS || known.Address != t.Address || known.Service != t.Service) {
 		// The same id after a restart: the earlier loads and health do not apply.
 		c.deleteTarget(known)
@@ -90,7 +106,7 @@
 func (c *Core) markAddressReused(t Target) {
 	for _, target := range c.targets {
 		if target.Address == t.Address && target.ID != t.ID && !target.gone && target.StartedMS <= t.StartedMS {
-			target.gone = true
+			c.setGone(target)
 			c.log("target-replaced", "target", target.ID, "by", t.ID, "address", t.Address)
 		}
 	}
@@ -122,12 +138,29 @@
 		return
 	}
 	c.log("target-gone", "target", id, "why", why)
-	target.gone = true
+	c.setGone(target)
 	if len(target.loads) == 0 {
 		c.deleteTarget(target)
 	}
 }
 
+// setGone marks a target as gone and remembers that it has left.
+func (c *Core) setGone(target *targetState) {
+	target.gone = true
+	for left, at := range c.store.departed {
+		if c.now-at > departureMemory {
+			delete(c.store.departed, left)
+		}
+	}
+	c.store.departed[target.incarnation()] = c.now
+}
+
+// hasDeparted reports whether a target is known to have left.
+func (c *Core) hasDeparted(t Target) bool {
+	_, ok := c.store.departed[t.incarnation()]
+	return ok
+}
+
 // syncTargets applies the platform's whole list: targets that it lacks are removed.
 func (c *Core) syncTargets(targets []Target) {
 	listedIDs := make(map[string]bool, len(targets))
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -98,3 +98,51 @@
 	must.False(t, h.core.targets["new"].gone)
 	must.True(t, h.core.targets["old"].gone)
 }
+
+// The copy from which the store is restored lists targets that have left since. Their
+// entries must not bring them back: they are draining, or their addresses belong to
+// others by now.
+func TestTargetsThatLeftStayGoneInARestoredList(t *testing.T) {
+	h := newHarness(t, 3)
+	left := h.core.targets["pool-00"].Target
+	h.step(TargetRemoved{left.ID})
+	h.step(StoreRestored{})
+	copied := h.core.targets["pool-01"].Target
+	copied.Outdated, left.Outdated = true, true
+	h.step(TargetList{[]Target{left, copied}})
+	must.False(t, h.acceptsRequests("pool-00"))
+	must.True(t, h.acceptsRequests("pool-01"))
+	h.step(TargetListed{left})
+	must.False(t, h.acceptsRequests("pool-00"))
+	// It had only been cut off from the store, and writes its entry again.
+	left.Outdated = false
+	h.step(TargetListed{left})
+	must.True(t, h.acceptsRequests("pool-00"))
+}
+
+// The copy may list an earlier start of a target under the same id.
+func TestEarlierStartInARestoredListIsIgnored(t *testing.T) {
+	h := newHarness(t, 1)
+	earlier := h.core.targets["pool-00"].Target
+	later := earlier
+	later.StartedMS, later.Address = 2, "10.0.0.7:pool"
+	h.step(TargetListed{later})
+	h.step(StoreRestored{})
+	earlier.Outdated = true
+	h.step(TargetList{[]Target{earlier}})
+	must.Eq(t, later.Address, h.core.targets["pool-00"].Address)
+}
+
+// The copy lacks targets that came since. They are back as soon as they write again, and
+// only those that do not are gone. No call needs to have failed.
+func TestTargetsMissingFromARestoredListStayInUse(t *testing.T) {
+	h := newHarness(t, 3)
+	h.step(StoreRestored{})
+	h.step(TargetList{[]Target{h.core.targets["pool-00"].Target}})
+	must.True(t, h.acceptsRequests("pool-01"))
+	h.advance(time.Second)
+	h.listTarget("pool", 1, "a")
+	h.advance(1500 * time.Millisecond)
+	must.True(t, h.acceptsRequests("pool-01"))
+	must.False(t, h.acceptsRequests("pool-02"))
+}
--- a/internal/fleetnode/exchange.go
+++ b/internal/fleetnode/exchange.go
@@ -34,6 +34,8 @@
 	Targets  []follow.Item
 	Revision uint64
 	Era      uint64
+	// Entries up to RestoredRevision are from the copy that began the era.
+	RestoredRevision uint64
 	// Settling is true shortly after an outage or a restore of the store, when targets
 	// that are missing from it may still reappear.
 	Settling bool
@@ -53,6 +55,7 @@
 	if position.Compare(known.position()) > 0 {
 		reply.Targets, reply.Revision, reply.Era = targets, position.Revision, position.Era
 		reply.Settling = e.mirror.entriesSettling()
+		_, reply.RestoredRevision = e.mirror.restore()
 	}
 	return nil
 }
@@ -150,7 +153,7 @@
 		x.mirror.adoptConfig(snap.Config)
 	}
 	position := follow.Position{Era: snap.Era, Revision: snap.Revision}
-	if withTargets && position.Compare(known.position()) > 0 {
+	if withTargets && position.Compare(known.position()) > 0 && x.mirror.advanceEra(snap.Era, snap.RestoredRevision) {
 		x.log.Info("targets-from-peer", "peer", peer.String(), "era", snap.Era, "revision", snap.Revision,
 			"targets", len(snap.Targets), "settling", snap.Settling)
 		if snap.Settling {
--- a/internal/fleetnode/exchange_test.go
+++ b/internal/fleetnode/exchange_test.go
@@ -74,3 +74,29 @@
 	must.Eq(t, after, packPosition(after).position())
 	must.Less(t, packPosition(after), packPosition(before))
 }
+
+// Entries of the copy are told from those that targets have written since, also by an
+// instance that reads them from a peer.
+func TestEntriesOfTheCopyAreOutdated(t *testing.T) {
+	var announced int
+	m, reader := newTestMirror(t, &announced), newTestMirror(t, &announced)
+	isOutdated := func(m *mirror, revision uint64) bool {
+		target, ok := m.decodeTarget(follow.Item{Key: "t/1", Revision: revision})
+		must.True(t, ok)
+		return target.Outdated
+	}
+	m.HandleList(nil, follow.Position{Era: 1, Revision: 70})
+	must.False(t, isOutdated(m, 60))
+	m.HandleList(nil, follow.Position{Era: 2, Revision: 30})
+	m.HandleList(nil, follow.Position{Era: 2, Revision: 50})
+	must.True(t, isOutdated(m, 30))
+	must.False(t, isOutdated(m, 31))
+
+	must.True(t, reader.advanceEra(1, 0))
+	var reply Snapshot
+	must.NoError(t, (&Exchange{m}).Newer(KnownVersions{StoreEra: 1, StoreRevision: 70}, &reply))
+	must.True(t, reply.Settling)
+	must.True(t, reader.advanceEra(reply.Era, reply.RestoredRevision))
+	must.True(t, isOutdated(reader, 30))
+	must.False(t, isOutdated(reader, 31))
+}
--- a/internal/fleetnode/mirror.go
+++ b/internal/fleetnode/mirror.go
@@ -44,6 +44,8 @@
 	configVersion    uint64
 	targets          map[string]follow.Item
 	position         follow.Position // of the store, as of targets
+	era              uint64          // newest known era of the store
+	restoredRevision uint64          // entries up to it are from the copy that began the era
 }
 
 func newMirror(d Decoder, node *forward.Node, log logr.Logger) *mirror {
@@ -96,7 +98,7 @@
 // applyList replaces the targets by those of a list of the store, which this instance
 // or a peer has read. A list of an era before the known one is ignored.
 func (m *mirror) applyList(items []follow.Item, position follow.Position) {
-	if !m.advanceEra(position) {
+	if !m.advanceEra(position.Era, position.Revision) {
 		return
 	}
 	var targets []fleet.Target
@@ -121,7 +123,7 @@
 
 // HandleChanges implements follow.Handler.
 func (m *mirror) HandleChanges(items []follow.Item, position follow.Position) {
-	if !m.advanceEra(position) {
+	if !m.advanceEra(position.Era, position.Revision) {
 		return
 	}
 	for _, item := range items {
@@ -148,21 +150,25 @@
 	m.onChange()
 }
 
-// advanceEra notes the era of a list or of changes. It returns false if a later one is known.
-func (m *mirror) advanceEra(position follow.Position) bool {
+// advanceEra notes the era of what this instance or a peer has read from the store. A
+// restore of the store has lost all later revisions than restoredRevision. It returns false
+// if a later era is known.
+func (m *mirror) advanceEra(era, restoredRevision uint64) bool {
 	m.mu.Lock()
-	known := m.position
-	restored := known.Era > 0 && position.Era > known.Era
+	known := m.era
+	restored := known > 0 && era > known
 	if restored {
-		m.position, m.storeRegainedAt = position, time.Now()
+		m.restoredRevision, m.storeRegainedAt = restoredRevision, time.Now()
 	}
+	m.era = max(known, era)
 	m.mu.Unlock()
-	if position.Era < known.Era {
-		m.log.Info("store-list-ignored", "era", position.Era, "known_era", known.Era)
+	if era < known {
+		m.log.Info("store-data-ignored", "era", era, "known_era", known)
 		return false
 	}
 	if restored {
-		m.log.Info("store-restored", "era", position.Era, "revision", position.Revision, "known_revision", known.Revision)
+		m.log.Info("store-restored", "era", era, "revision", restoredRevision)
+		m.node.Step(fleet.StoreRestored{})
 		m.onRestore()
 	}
 	return true
@@ -175,6 +181,13 @@
 	}
 }
 
+// restore returns the newest known era and its restoredRevision.
+func (m *mirror) restore() (era, restoredRevision uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.era, m.restoredRevision
+}
+
 // addPeerTargets adds a peer's targets without removing those that the peer
 // lacks.
 func (m *mirror) addPeerTargets(items []follow.Item) {
@@ -193,6 +206,9 @@
 		m.log.Info("target-ignored", "key", item.Key, "revision", item.Revision, "cause", err.Error())
 		return t, false
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t.Outdated = item.Revision <= m.restoredRevision
 	return t, true
 }
 
