fleetnode: an address written before the restore of a store is written again

Callers saw: nothing. Fix: the write returns the era of the store that has it; a later era repeats it.

--- a/internal/fleetnode/mirror.go
+++ b/internal/fleetnode/mirror.go
@@ -33,8 +33,8 @@
 	// onList is called after each list of the store, onChange after changes, so that
 	// peers learn of them at once.
 	onList, onChange func()
-	// onRestore is called when the store has lost its last writes.
-	onRestore func()
+	// onEra is called when a new era of the store becomes known.
+	onEra func(era uint64)
 
 	mu               sync.Mutex
 	storeReachable   bool
@@ -169,7 +169,9 @@
 	if restored {
 		m.log.Info("store-restored", "era", era, "revision", restoredRevision)
 		m.node.Step(fleet.StoreRestored{})
-		m.onRestore()
+	}
+	if era > known {
+		m.onEra(era)
 	}
 	return true
 }
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -65,7 +65,8 @@
 // Store is the platform's key-value store.
 type Store interface {
 	follow.Source
-	Put(ctx context.Context, key string, value []byte) error
+	// Put writes a key and returns the era of the store that has the write.
+	Put(ctx context.Context, key string, value []byte) (era uint64, err error)
 }
 
 // Options configures an Instance.
@@ -91,7 +92,8 @@
 	callerServer     *http.Server
 	callers          *callerListener
 	auxiliaryServers []*http.Server
-	following        atomic.Bool // this instance follows the store
+	following        atomic.Bool   // this instance follows the store
+	announcedEra     atomic.Uint64 // of the store that has the address; zero before the first write
 	cancel           context.CancelFunc
 	ctx              context.Context
 }
@@ -134,7 +136,11 @@
 	i.mirror.onPeerAddress = i.addPeerAddress
 	i.mirror.onList = func() { g.send(fleet.SendGossip{}) }
 	i.mirror.onChange = func() { g.send(fleet.SendGossip{Domain: s.FailureDomain}) }
-	i.mirror.onRestore = func() { go i.announceAgain() }
+	i.mirror.onEra = func(era uint64) {
+		if announced := i.announcedEra.Load(); announced > 0 && era > announced {
+			go i.announceAgain()
+		}
+	}
 	g.versions, g.followsStore = i.mirror.versions, i.followsStore
 	if i.exchange, err = listenExchange(s, i.mirror, i.followsStore, opts.Log); err != nil {
 		i.Close()
@@ -238,7 +244,12 @@
 // announce stores this instance's address, where the other instances find it.
 func (i *Instance) announce(s *Settings) error {
 	address := net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort))
-	return i.opts.Store.Put(i.ctx, instanceKeyPrefix+s.Name, []byte(address))
+	era, err := i.opts.Store.Put(i.ctx, instanceKeyPrefix+s.Name, []byte(address))
+	if err != nil {
+		return err
+	}
+	i.announcedEra.Store(era)
+	return nil
 }
 
 // startServers starts the servers for callers, for readiness and, if
