fleet: failures behind a lost path are no crashes and no sickness of targets

Callers saw: at instances that lost their path with a reset, and then everywhere, sound requests could be refused as crashing ones; peers avoided targets that served them well. Cause: a broken run whose target refuses connections counted as a crash, and each failed connection was told to the peers. An instance without a path to any target sees both at every target. Fix: failures at two targets without a new connection in between put the own path in doubt. Three others are then checked.

--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -60,6 +60,7 @@
 	demands           map[string]*demand              // by service
 	firstEventRatios  map[string]float64              // see firstEventRatio, by service
 	domains           map[string]*domainHealth        // failure domains that failed since their last success
+	path              targetPath
 	stopping          bool
 	// During a stop, a request that arrives after admitAllUntil is admitted only if
 	// it is expected to end by stopDeadline.
@@ -111,6 +112,8 @@
 		c.deferRemovals()
 	case RequestArrived:
 		c.handleRequestArrived(ev)
+	case Connected:
+		c.recordConnected(ev.Target)
 	case Progress:
 		c.handleProgress(ev)
 	case AttemptEnd:
--- a/internal/fleet/crash.go
+++ b/internal/fleet/crash.go
@@ -158,6 +158,7 @@
 
 // handleTargetChecked records a crash if the target with broken runs has ended.
 func (c *Core) handleTargetChecked(ev TargetChecked) {
+	c.recordPathCheck(ev)
 	check := c.targetChecks[ev.Target.incarnation()]
 	if check == nil {
 		return
@@ -167,7 +168,7 @@
 		"suspects", len(check.suspects))
 	c.incrementCounter("targets_checked", ev.Result.String())
 	if ev.Result == CheckRefused && len(check.suspects) > 0 {
-		c.reportCrash(ev.Target, check.suspects)
+		c.confirmCrash(ev.Target, check.suspects)
 	}
 	for _, a := range check.waiting {
 		if c.requests[a.arrival.Request] == a {
--- a/internal/fleet/domain_health.go
+++ b/internal/fleet/domain_health.go
@@ -62,11 +62,11 @@
 }
 
 // abandonSilentAttempts retries, at other targets, the repeatable requests at
-// silent targets of a domain that cannot be reached.
+// silent targets of a domain that cannot be reached; empty means any domain.
 func (c *Core) abandonSilentAttempts(domain string) {
 	var silent []*activeRequest
 	for _, a := range c.attempts {
-		if a.target.FailureDomain == domain && c.now-max(a.lastEventAt, a.target.lastHeardAt) >= domainSilenceTimeout && a.arrival.Route.Retryable() {
+		if (domain == "" || a.target.FailureDomain == domain) && c.now-max(a.lastEventAt, a.target.lastHeardAt) >= domainSilenceTimeout && a.arrival.Route.Retryable() {
 			silent = append(silent, a)
 		}
 	}
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -66,6 +66,9 @@
 // its last changes. It comes before the list of the copy.
 type StoreRestored struct{}
 
+// Connected reports that a new connection to a target was made.
+type Connected struct{ Target string }
+
 // RequestArrived reports that a caller's request has been received in full.
 type RequestArrived struct {
 	Request  RequestID
@@ -296,6 +299,7 @@
 func (TargetList) fleetEvent()        {}
 func (StoreReachability) fleetEvent() {}
 func (StoreRestored) fleetEvent()     {}
+func (Connected) fleetEvent()         {}
 func (RequestArrived) fleetEvent()    {}
 func (Progress) fleetEvent()          {}
 func (AttemptEnd) fleetEvent()        {}
--- /dev/null
+++ b/internal/fleet/target_path_test.go
@@ -0,0 +1,68 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Targets that end are not taken for a lost path.
+func TestEndsOfTargetsAreNoLossOfThePath(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(4) {
+		w := newFleetWorld(t, 740+seed, 4, 16)
+		w.repeat(25*time.Millisecond, 20*time.Second, func() { w.anyInstance().submit(routeShort, 3000) })
+		w.after(5*time.Second, func() {
+			for _, target := range w.targets[:6] {
+				w.endTarget(target)
+			}
+		})
+		w.repeat(100*time.Millisecond, 20*time.Second, func() {
+			for _, in := range w.instances {
+				must.NotEq(t, pathLost, in.core.path.state)
+			}
+		})
+		w.runUntil(22 * time.Second)
+	}
+}
+
+// Behind a lost path sound targets look as if they had ended. Those that others run on are
+// not to be suspected, neither here nor by a report to the peers.
+func TestLossOfThePathIsNoCrash(t *testing.T) {
+	h := newHarness(t, 6)
+	var sends []Send
+	for range 12 {
+		sends = append(sends, h.lastSend(h.submit(routeShort, 3000)))
+	}
+	for _, send := range sends {
+		h.step(AttemptEnd{Attempt: send.Attempt, Outcome: OutcomeBroken})
+	}
+	for _, target := range h.core.targetsByService["pool"] {
+		h.step(TargetChecked{target.Target, CheckRefused})
+	}
+	must.Eq(t, pathDoubted, h.core.path.state)
+	must.SliceEmpty(t, h.core.reportedCrashes)
+	for id := range h.core.path.pendingChecks {
+		h.step(TargetChecked{h.core.targets[id].Target, CheckRefused})
+	}
+	must.Eq(t, pathLost, h.core.path.state)
+	h.step(Connected{"pool-00"})
+	must.SliceEmpty(t, h.core.reportedCrashes)
+}
+
+// Real crashes that look like a lost path for a moment are reported once the path is known
+// to be sound.
+func TestCrashesAreReportedAfterADoubt(t *testing.T) {
+	h := newHarness(t, 6)
+	first, second := h.core.targets["pool-00"].Target, h.core.targets["pool-01"].Target
+	h.core.confirmCrash(first, nil)
+	must.Len(t, 1, h.core.reportedCrashes)
+	h.step(TargetChecked{first, CheckRefused})
+	h.step(TargetChecked{second, CheckRefused})
+	must.Eq(t, pathDoubted, h.core.path.state)
+	h.core.confirmCrash(second, nil)
+	must.Len(t, 1, h.core.reportedCrashes)
+	h.step(TargetChecked{h.core.targets["pool-02"].Target, CheckAccepted})
+	must.Len(t, 2, h.core.reportedCrashes)
+}
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -289,6 +289,7 @@
 		run.report(OutcomeNotConnected)
 		return
 	}
+	run.instance.step(Connected{run.target.ID})
 	for _, part := range run.request.parts {
 		w.reached[part] = append(w.reached[part], w.now)
 	}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -53,6 +53,9 @@
 	if err != nil {
 		return fleet.AttemptEnd{Outcome: fleet.OutcomeNotConnected, Cause: err.Error()}
 	}
+	if !c.reused {
+		x.node.Step(fleet.Connected{Target: send.Target.ID})
+	}
 	if !x.registerConn(send.Attempt, c) {
 		_ = c.Close()
 		return brokenAttempt(errors.New("cancelled"))
