fleet: an instance without a path to targets serves its callers through a peer

Cause: an instance could reach targets over its own connections only; being ready or not moves new connections after two probes, and never those that are open. Fix: while the path is in doubt or lost, a request goes to a peer, of the own failure domain first, which places it like one of its own callers'. It carries the attempts that are left and the time that is left, resumes streams, and leaves with its caller. A peer sends nothing on, refuses at once what it can't serve, and takes 256 such requests at a time; another peer is asked then, four at most. A broken relay counts as all attempts. Relays have a port of their own that accepts instances only. Nothing is sent there while the path is sound.

--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -20,10 +20,13 @@
 		c.emit(Observe{"first_event_seconds", a.arrival.Route.Name, a.timeToFirstEvent})
 	}
 	a.anyEventDelivered, a.lastEventAt = true, c.now
-	a.target.lastHeardAt = c.now
 	if ev.EventID != "" {
 		a.lastEventID = ev.EventID
 	}
+	if a.relayedBy != "" {
+		return
+	}
+	a.target.lastHeardAt = c.now
 	a.stallDeadline = c.now + c.pauseTimeout(a)
 	if a.attemptDeliveredEvent {
 		c.recordLongRun(a)
@@ -120,7 +123,7 @@
 // abandonSilentAttempt cancels an attempt at a silent target and retries it
 // elsewhere, unless the route allows no more attempts or no targets are available.
 func (c *Core) abandonSilentAttempt(a *activeRequest) {
-	if a.attemptsRun+1 >= a.arrival.Route.MaxAttempts || len(c.candidateTargets(a)) == 0 {
+	if a.attemptsRun+1 >= a.maxAttempts() || len(c.candidateTargets(a)) == 0 && c.relayPeer(a) == "" {
 		return
 	}
 	c.log("target-silent", "request", a.arrival.ID, "attempt", a.attempt, "target", a.target.ID,
@@ -155,8 +158,12 @@
 		c.incrementCounter("answers_dropped", "late-end")
 		return
 	}
-	target := a.target
 	a.lastEnd = ev
+	if a.relayedBy != "" {
+		c.handleRelayEnd(a, ev)
+		return
+	}
+	target := a.target
 	if !a.attemptDeliveredEvent {
 		c.recordLimit(a, ev.Limit)
 	}
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -61,6 +61,7 @@
 	firstEventRatios  map[string]float64              // see firstEventRatio, by service
 	domains           map[string]*domainHealth        // failure domains that failed since their last success
 	path              targetPath
+	relayedCount      int // requests of peers in flight
 	stopping          bool
 	// During a stop, a request that arrives after admitAllUntil is admitted only if
 	// it is expected to end by stopDeadline.
--- a/internal/fleet/domain_health.go
+++ b/internal/fleet/domain_health.go
@@ -61,12 +61,12 @@
 	}
 }
 
-// abandonSilentAttempts retries, at other targets, the repeatable requests at
-// silent targets of a domain that cannot be reached; empty means any domain.
+// abandonSilentAttempts retries, at other targets or by way of a peer, the repeatable
+// requests at silent targets of a domain that cannot be reached; empty means any domain.
 func (c *Core) abandonSilentAttempts(domain string) {
 	var silent []*activeRequest
 	for _, a := range c.attempts {
-		if (domain == "" || a.target.FailureDomain == domain) && c.now-max(a.lastEventAt, a.target.lastHeardAt) >= domainSilenceTimeout && a.arrival.Route.Retryable() {
+		if a.relayedBy == "" && (domain == "" || a.target.FailureDomain == domain) && c.now-max(a.lastEventAt, a.target.lastHeardAt) >= domainSilenceTimeout && a.arrival.Route.Retryable() {
 			silent = append(silent, a)
 		}
 	}
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -66,9 +66,6 @@
 // its last changes. It comes before the list of the copy.
 type StoreRestored struct{}
 
-// Connected reports that a new connection to a target was made.
-type Connected struct{ Target string }
-
 // RequestArrived reports that a caller's request has been received in full.
 type RequestArrived struct {
 	Request  RequestID
@@ -87,8 +84,15 @@
 	Fingerprint uint64
 	// SharedParts identify the parts of the prompt that other requests may share.
 	SharedParts []uint64
+	// Relayed says that a peer that reaches no target has sent the request in place of its
+	// caller. AttemptsLeft is the number of attempts that may then run at targets.
+	Relayed      bool
+	AttemptsLeft int
 }
 
+// Connected reports that a new connection to a target was made.
+type Connected struct{ Target string }
+
 // LimitStatement says whether a target's answer names a limit of requests.
 type LimitStatement uint8
 
@@ -154,6 +158,9 @@
 	// connection, as it also does when its target ends.
 	EndedByClose bool
 	Limit        Limit
+	// Refusal and RetryAfter are those of a peer that did not run the request.
+	Refusal    result.Code
+	RetryAfter time.Duration
 }
 
 // CallerLeft reports that the caller closed its connection.
@@ -161,9 +168,10 @@
 
 // PeerGossip delivers a gossip message from a peer.
 type PeerGossip struct {
-	// From is the name of the peer, Domain its failure domain.
-	From, Domain string
-	Gossip       Gossip
+	// From is the name of the peer, Domain its failure domain. RelayAddress is the
+	// host:port at which it serves requests of its peers.
+	From, Domain, RelayAddress string
+	Gossip                     Gossip
 }
 
 // Reserved delivers a target's reply to Reserve.
@@ -217,7 +225,7 @@
 	Ticket string
 }
 
-// Send sends the request to a target.
+// Send sends the request to a target, or to a peer.
 type Send struct {
 	Request  RequestID
 	Attempt  AttemptID
@@ -234,6 +242,9 @@
 	// FreshConnection forbids the reuse of a connection: if a reused one broke, it
 	// would be unknown whether the request ran.
 	FreshConnection bool
+	// Relay is the peer to which the request is sent instead of a target, if it has an
+	// address.
+	Relay Relay
 }
 
 // Cancel aborts an attempt; later events of the attempt are ignored.
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -57,6 +57,11 @@
 	domain        string
 	lastMessageAt time.Duration
 	loads         map[uint64]placedLoad // by TargetLoad.Key
+	// relayAddress is where the peer serves requests of others. relayFailed says that it
+	// could not serve one, the last at relayFailedAt.
+	relayAddress  string
+	relayFailed   bool
+	relayFailedAt time.Duration
 }
 
 // placedLoad is a load with the target that carries it, kept so that the load can be
@@ -215,7 +220,7 @@
 	if isNew || ev.Gossip.Joining {
 		c.emit(SendGossip{Peer: ev.From, Gossip: c.fullGossip(c.gossipDomainOf(p))})
 	}
-	p.lastMessageAt = c.now
+	p.lastMessageAt, p.relayAddress = c.now, ev.RelayAddress
 	g := &ev.Gossip
 	if g.Full {
 		keepKeys := make(map[uint64]bool, len(g.Loads))
--- /dev/null
+++ b/internal/fleet/relay.go
@@ -0,0 +1,154 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/medlardeck/medlardeck/internal/result"
+)
+
+// Requests that are served by way of a peer while this instance reaches no target.
+const (
+	// maxRelays is the number of peers to which one request is sent.
+	maxRelays = 4
+	// relayRetryDelay is how long a peer is avoided that could not be reached or does
+	// not reach the targets itself. For relayDoubtTime it comes after all others.
+	relayRetryDelay = time.Second
+	relayDoubtTime  = 5 * time.Second
+	// relayPeerTimeout is how long a peer may have been silent; peers send at least one
+	// message a second.
+	relayPeerTimeout = 2500 * time.Millisecond
+	// maxRelayed bounds the requests of peers that this instance serves at a time.
+	maxRelayed = 256
+)
+
+// Relay names the peer that serves a request in place of a target.
+type Relay struct {
+	// Peer is the name of the peer, Address its host:port; empty for none.
+	Peer, Address string
+	// AttemptsLeft is the number of attempts that may still run at targets.
+	AttemptsLeft int
+}
+
+// relayPeer returns the name of a peer that may serve the request, or an empty string: as
+// long as the own path to the targets is sound, for requests that a peer has sent, and
+// where no peer is left.
+func (c *Core) relayPeer(a *activeRequest) string {
+	if c.path.state == pathSound || a.arrival.Relayed || a.relays >= maxRelays {
+		return ""
+	}
+	var own, others, doubted []string
+	for name, p := range c.peers {
+		sinceFailure := c.now - p.relayFailedAt
+		switch {
+		case p.relayAddress == "" || c.now-p.lastMessageAt > relayPeerTimeout:
+		case p.relayFailed && sinceFailure < relayRetryDelay:
+		case p.relayFailed && sinceFailure < relayDoubtTime:
+			doubted = append(doubted, name)
+		case p.domain == c.opts.FailureDomain:
+			own = append(own, name)
+		default:
+			others = append(others, name)
+		}
+	}
+	for _, names := range [][]string{own, others, doubted} {
+		if len(names) > 0 {
+			slices.Sort(names)
+			return names[c.rng.IntN(len(names))]
+		}
+	}
+	return ""
+}
+
+// sendToPeer sends the request to a peer, which places it like one of its own callers'.
+func (c *Core) sendToPeer(a *activeRequest, name string) {
+	c.lastAttemptID++
+	a.attempt, a.target, a.relayedBy = c.lastAttemptID, nil, name
+	a.attemptDeliveredEvent, a.hasFailureAnswer = false, false
+	a.relays++
+	a.sentAt = c.now
+	if !a.anyEventDelivered {
+		a.lastEventAt = c.now
+	}
+	c.attempts[a.attempt] = a
+	relay := Relay{Peer: name, Address: c.peers[name].relayAddress, AttemptsLeft: a.maxAttempts() - a.attemptsRun}
+	c.log("send-to-peer", "request", a.arrival.ID, "attempt", a.attempt, "peer", name, "attempts_left", relay.AttemptsLeft,
+		"resume_after", a.lastEventID)
+	c.incrementCounter("requests_relayed", "sent")
+	c.emit(Send{
+		Request: a.arrival.Request, Attempt: a.attempt, Deadline: a.deadline, ResumeAfter: a.lastEventID,
+		FreshConnection: !a.arrival.Route.Retryable(), Relay: relay,
+	})
+}
+
+// handleRelayEnd ends the request with the peer's answer, or tries another peer if this
+// one can't have run it. After a broken connection the peer may have used all attempts.
+func (c *Core) handleRelayEnd(a *activeRequest, ev AttemptEnd) {
+	if ev.Outcome != OutcomeComplete {
+		c.log("relay-ended", "request", a.arrival.ID, "attempt", ev.Attempt, "peer", a.relayedBy, "end", ev.Outcome.String(),
+			"status", ev.Status, "refusal", ev.Refusal.String(), "cause", ev.Cause, "after_ms", int(toMS(c.now-a.sentAt)))
+	}
+	c.incrementCounter("relays_ended", ev.Outcome.String())
+	name := a.relayedBy
+	a.relayedBy = ""
+	c.removeAttemptLoads(a)
+	switch ev.Outcome {
+	case OutcomeComplete:
+		c.finishRequest(a, Finish{Code: result.Complete, ForwardAnswer: true})
+	case OutcomeFailed:
+		a.attemptsRun = a.maxAttempts()
+		a.hasFailureAnswer = true
+		c.refuseOrFail(a, result.TargetsRefused, minRetryAfter)
+	case OutcomeNotConnected:
+		c.avoidRelay(name)
+		c.dispatch(a)
+	case OutcomeNotRun, OutcomeMisdirected:
+		if isRefusalOfPeer(ev.Refusal) {
+			c.avoidRelay(name)
+			c.dispatch(a)
+			return
+		}
+		c.refuseOrFail(a, ev.Refusal, max(minRetryAfter, ev.RetryAfter))
+	case OutcomeCallerGone:
+		a.attemptsRun++
+		c.finishRequest(a, Finish{Code: result.CallerGone})
+	default:
+		a.attemptsRun = a.maxAttempts()
+		c.refuseOrFail(a, result.TargetsRefused, minRetryAfter)
+	}
+}
+
+// isRefusalOfPeer reports whether a refusal says something of the peer, so that another
+// one may serve the request.
+func isRefusalOfPeer(code result.Code) bool {
+	switch code {
+	case result.NoTarget, result.TargetsRefused, result.QueueFull, result.Stopping, result.NoConfiguration, result.UnknownRoute, result.Unauthenticated:
+		return true
+	}
+	return code.Family() != result.FamilyRefused
+}
+
+// avoidRelay records that a peer could not serve a request.
+func (c *Core) avoidRelay(name string) {
+	if p := c.peers[name]; p != nil {
+		p.relayFailed, p.relayFailedAt = true, c.now
+	}
+}
+
+// refuseRelayed refuses a peer's request that this instance can't serve, so that the peer
+// asks another one. It returns false for requests that are admitted.
+func (c *Core) refuseRelayed(a *activeRequest) bool {
+	switch {
+	case !a.arrival.Relayed:
+		return false
+	case c.stopping:
+		c.finishRequest(a, Finish{Code: result.Stopping, RetryAfter: minRetryAfter})
+	case c.path.state == pathLost:
+		c.finishRequest(a, Finish{Code: result.NoTarget, RetryAfter: minRetryAfter})
+	case c.relayedCount > maxRelayed:
+		c.finishRequest(a, Finish{Code: result.QueueFull, RetryAfter: minRetryAfter})
+	default:
+		return false
+	}
+	return true
+}
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -82,6 +82,9 @@
 	lastEnd               AttemptEnd
 	hasFailureAnswer      bool // the last attempt ended with a failure answer that may be forwarded
 
+	relayedBy string // name of the peer that serves the current attempt, empty for none
+	relays    int    // peers to which the request was sent
+
 	reservation *reservation
 
 	fingerprints     []quarantine.Fingerprint // of the request and of the shared parts of its prompt
@@ -93,6 +96,14 @@
 // memoryTokens is the KV cache in tokens that the request may take.
 func (a *activeRequest) memoryTokens() int { return a.arrival.PromptTokens + a.arrival.MaxAnswerTokens }
 
+// maxAttempts is the number of attempts that may run at targets.
+func (a *activeRequest) maxAttempts() int {
+	if a.arrival.Relayed {
+		return min(a.arrival.Route.MaxAttempts, a.arrival.AttemptsLeft)
+	}
+	return max(1, a.arrival.Route.MaxAttempts)
+}
+
 // handleRequestArrived admits a request and dispatches it, or refuses it because of a
 // stop.
 func (c *Core) handleRequestArrived(ev RequestArrived) {
@@ -110,6 +121,12 @@
 		c.recordDemand(a, e)
 	}
 	c.lastArrivalAt = c.now
+	if ev.Relayed {
+		c.relayedCount++
+	}
+	if c.refuseRelayed(a) {
+		return
+	}
 	if !c.canFinishBeforeStop(a) {
 		c.finishRequest(a, Finish{Code: result.Stopping, RetryAfter: minRetryAfter})
 		return
@@ -143,6 +160,10 @@
 		c.refuseOrFail(a, result.Quarantined, quarantineRetryAfter)
 		return
 	}
+	if peer := c.relayPeer(a); peer != "" {
+		c.sendToPeer(a, peer)
+		return
+	}
 	p := c.choosePlacement(a)
 	switch {
 	case p.primary == nil && c.canWaitForRoom(a):
@@ -328,8 +349,8 @@
 func (c *Core) retryOrFail(a *activeRequest, reason string) {
 	switch {
 	case a.attemptsRun > 0 && !a.arrival.Route.Retryable(),
-		a.attemptsRun >= max(1, a.arrival.Route.MaxAttempts),
-		a.attemptsNotRun > maxAttemptsNotRun:
+		a.attemptsRun >= a.maxAttempts(),
+		a.attemptsNotRun > maxAttemptsNotRun && c.relayPeer(a) == "":
 		c.refuseOrFail(a, result.TargetsRefused, minRetryAfter)
 	case c.isBlocked(a):
 		c.refuseOrFail(a, result.Quarantined, quarantineRetryAfter)
@@ -364,6 +385,9 @@
 		return
 	}
 	delete(c.requests, a.arrival.Request)
+	if a.arrival.Relayed {
+		c.relayedCount--
+	}
 	c.releaseTickets(a)
 	f.Request = a.arrival.Request
 	c.log("request-ended", "request", a.arrival.ID, "route", a.arrival.Route.Name, "code", int(f.Code),
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -19,7 +19,9 @@
 	worldRestart     = 3 * time.Second
 	worldEntryExpiry = 3600 * time.Millisecond
 	worldStall       = 1500 * time.Millisecond
-	stableWindow     = 3 * time.Second
+	// worldConnectTimeout is how long an instance waits for a connection.
+	worldConnectTimeout = 250 * time.Millisecond
+	stableWindow        = 3 * time.Second
 )
 
 // fleetWorld drives the cores of several instances on one virtual clock against
@@ -54,7 +56,11 @@
 	lastID   RequestID
 	requests map[RequestID]*worldRequest
 	runs     map[AttemptID]*worldRun
+	relays   map[AttemptID]*worldRelay // requests that a peer serves for this instance
 	down     bool
+	// cutOff says that there is no path to any target. Connections hang, or are refused
+	// if refusing is set.
+	cutOff, refusing bool
 }
 
 type worldTarget struct {
@@ -73,6 +79,9 @@
 	sends         int
 	began         bool // at the first attempt
 	finish        *Finish
+	endedAt       time.Duration
+	relayed       int         // times that it was sent to a peer
+	relay         *worldRelay // of an arrival from a peer
 }
 
 type worldRun struct {
@@ -119,6 +128,7 @@
 	in := &worldInstance{
 		world: w, timerAt: -1, name: fmt.Sprintf("front-%03d", i), domain: w.domain(i),
 		requests: make(map[RequestID]*worldRequest), runs: make(map[AttemptID]*worldRun),
+		relays: make(map[AttemptID]*worldRelay),
 	}
 	w.instances[i] = in
 	in.core = New(Options{
@@ -188,9 +198,15 @@
 		if run := in.runs[eff.Attempt]; run != nil {
 			run.end()
 		}
+		if relay := in.relays[eff.Attempt]; relay != nil {
+			relay.leave()
+		}
 	case Finish:
 		r := in.requests[eff.Request]
-		r.finish = &eff
+		r.finish, r.endedAt = &eff, w.now
+		if r.relay != nil {
+			r.relay.finish(eff)
+		}
 		if eff.Code.String() == "quarantined" && !w.carriesCrashingPart(r) {
 			w.refusals++
 		}
@@ -198,14 +214,16 @@
 		w.after(worldHop, func() { in.step(Reserved{Request: eff.Request, Target: eff.Target.ID, Granted: true}) })
 	case CheckTarget:
 		target := w.target(eff.Target)
-		w.after(2*worldHop, func() { in.step(TargetChecked{eff.Target, w.checkResult(in, target)}) })
+		w.after(w.connectTime(in), func() { in.step(TargetChecked{eff.Target, w.checkResult(in, target)}) })
 	case SendGossip:
 		for _, peer := range w.instances {
 			if peer == in || eff.Domain != "" && eff.Domain != peer.domain || eff.Peer != "" && eff.Peer != peer.name ||
 				w.separated(in.domain, peer.domain) || w.rng.Float64() < w.lossRate {
 				continue
 			}
-			w.after(worldHop, func() { peer.step(PeerGossip{From: in.name, Domain: in.domain, Gossip: eff.Gossip}) })
+			w.after(worldHop, func() {
+				peer.step(PeerGossip{From: in.name, Domain: in.domain, RelayAddress: in.name, Gossip: eff.Gossip})
+			})
 		}
 	}
 }
@@ -223,7 +241,9 @@
 
 func (w *fleetWorld) checkResult(in *worldInstance, target *worldTarget) CheckResult {
 	switch {
-	case target == nil || target.down:
+	case in.cutOff && !in.refusing:
+		return CheckUnreachable
+	case target == nil || target.down || in.cutOff:
 		return CheckRefused
 	case w.separated(in.domain, target.FailureDomain):
 		return CheckUnreachable
@@ -252,13 +272,25 @@
 func (in *worldInstance) send(s Send) {
 	w := in.world
 	r := in.requests[s.Request]
+	if s.Relay.Address != "" {
+		in.relay(r, s)
+		return
+	}
 	r.sends++
 	run := &worldRun{instance: in, attempt: s.Attempt, request: r, target: w.target(s.Target)}
 	for _, h := range s.Helpers {
 		run.helpers = append(run.helpers, w.target(Target{ID: h.Target}))
 	}
 	in.runs[s.Attempt] = run
-	w.after(worldHop, func() { run.arrive() })
+	w.after(w.connectTime(in)-worldHop, func() { run.arrive() })
+}
+
+// connectTime is the time until an instance knows whether it is connected to a target.
+func (w *fleetWorld) connectTime(in *worldInstance) time.Duration {
+	if in.cutOff && !in.refusing {
+		return worldConnectTimeout
+	}
+	return 2 * worldHop
 }
 
 func (run *worldRun) end() {
@@ -333,7 +365,12 @@
 		return
 	}
 	limit := run.target.limit
-	w.after(worldHop, func() { run.instance.step(Progress{Attempt: run.attempt, EventID: fmt.Sprint(id), Limit: limit}) })
+	w.after(worldHop, func() {
+		run.instance.step(Progress{Attempt: run.attempt, EventID: fmt.Sprint(id), Limit: limit})
+		if relay := run.request.relay; relay != nil {
+			relay.event(id)
+		}
+	})
 	if id == 12 {
 		run.report(OutcomeComplete)
 		return
--- a/internal/fleetnode/gossip.go
+++ b/internal/fleetnode/gossip.go
@@ -60,6 +60,7 @@
 	name       string
 	domain     string
 	ownAddress netip.AddrPort
+	relayPort  int
 	conn       *net.UDPConn
 	log        logr.Logger
 	onPeerLoad func(fleet.PeerGossip)
@@ -96,7 +97,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers at %s: %w", own, err)
 	}
-	g := &gossip{name: s.Name, domain: s.FailureDomain, ownAddress: own, conn: conn, log: log, peers: make(map[netip.AddrPort]*peerContact)}
+	g := &gossip{name: s.Name, domain: s.FailureDomain, ownAddress: own, relayPort: s.RelayPort, conn: conn, log: log, peers: make(map[netip.AddrPort]*peerContact)}
 	for _, seed := range s.Seeds {
 		if a, err := netip.ParseAddrPort(seed); err == nil {
 			g.addPeer(a)
@@ -193,7 +194,8 @@
 		for _, a := range d.Peers {
 			g.addPeer(a)
 		}
-		g.onPeerLoad(fleet.PeerGossip{From: d.From, Domain: d.Domain, Gossip: d.Gossip})
+		relay := netip.AddrPortFrom(from.Addr(), uint16(g.relayPort)).String()
+		g.onPeerLoad(fleet.PeerGossip{From: d.From, Domain: d.Domain, RelayAddress: relay, Gossip: d.Gossip})
 		g.onMessage(from, &d)
 	}
 }
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -124,6 +124,7 @@
 			ReservationTTL: s.ReservationTTL, Seed: seedFromName(s.Name),
 		},
 		HeaderCodec: opts.HeaderCodec, MemoryReserver: opts.MemoryReserver, Log: opts.Log, Metrics: metrics,
+		LocalIP: net.ParseIP(s.IP),
 		SendGossip: func(m fleet.SendGossip) {
 			select {
 			case messages <- m:
@@ -263,6 +264,9 @@
 	if err := i.serveCallers(s.CallersAddress); err != nil {
 		return err
 	}
+	if err := i.serveRelays(s); err != nil {
+		return err
+	}
 	ready := mux.NewRouter()
 	ready.HandleFunc("/ready", func(w http.ResponseWriter, _ *http.Request) {
 		if !i.node.Ready() {
@@ -338,7 +342,7 @@
 	if err := i.callers.Close(); err != nil {
 		i.opts.Log.Info("listener-close-failed", "cause", err.Error())
 	}
-	for time.Since(begin) < grace && i.callers.isBusy() {
+	for time.Since(begin) < grace && (i.callers.isBusy() || !i.node.IdleFor(0)) {
 		time.Sleep(idlePollInterval)
 	}
 	i.opts.Log.Info("stopped", "instance", i.opts.Settings.Name, "cut_short", i.callers.isBusy())
--- a/internal/fleetnode/settings.go
+++ b/internal/fleetnode/settings.go
@@ -24,6 +24,8 @@
 	// PeerPort is the UDP port for messages between instances, ExchangePort the
 	// TCP port on which they request store data from each other.
 	PeerPort, ExchangePort int
+	// RelayPort is the TCP port on which they serve each other's requests.
+	RelayPort int
 	// Seeds are initial peer addresses, host:port; some may be out of date.
 	Seeds []string
 	// MaxConfigDelay is the time within which a new configuration must be in force.
@@ -55,8 +57,8 @@
 			errs = append(errs, fmt.Errorf("%s address %q: %w", a.name, a.address, err))
 		}
 	}
-	if s.PeerPort <= 0 || s.ExchangePort <= 0 {
-		errs = append(errs, errors.New("peer port and exchange port must be above zero"))
+	if s.PeerPort <= 0 || s.ExchangePort <= 0 || s.RelayPort <= 0 {
+		errs = append(errs, errors.New("peer port, exchange port and relay port must be above zero"))
 	}
 	if s.StopGrace <= 0 || s.MaxConfigDelay <= 0 || s.RetryWindow <= 0 || s.ReservationTTL <= 0 {
 		errs = append(errs, fmt.Errorf("stop grace %v, maximum configuration delay %v, retry window %v and reservation TTL %v must be above zero",
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -48,14 +48,10 @@
 // runAttempt sends the request to a target and relays or buffers the response.
 func (x *exchange) runAttempt(send fleet.Send) fleet.AttemptEnd {
 	x.buffered, x.limit = nil, fleet.Limit{}
-	key := send.Target.ID + "@" + send.Target.Address
-	c, err := x.node.pool.get(x.node.ctx, key, send.Target.Address, send.FreshConnection)
+	c, err := x.connect(send)
 	if err != nil {
 		return fleet.AttemptEnd{Outcome: fleet.OutcomeNotConnected, Cause: err.Error()}
 	}
-	if !c.reused {
-		x.node.Step(fleet.Connected{Target: send.Target.ID})
-	}
 	if !x.registerConn(send.Attempt, c) {
 		_ = c.Close()
 		return brokenAttempt(errors.New("cancelled"))
@@ -73,6 +69,20 @@
 	return end
 }
 
+// connect returns a connection to the target or peer of an attempt. The decision core
+// learns of a new one to a target.
+func (x *exchange) connect(send fleet.Send) (*conn, error) {
+	pool := x.node.pool
+	if relay := send.Relay; relay.Address != "" {
+		return pool.get(x.node.ctx, "peer "+relay.Peer+"@"+relay.Address, relay.Address, x.node.opts.LocalIP, send.FreshConnection)
+	}
+	c, err := pool.get(x.node.ctx, send.Target.ID+"@"+send.Target.Address, send.Target.Address, nil, send.FreshConnection)
+	if err == nil && !c.reused {
+		x.node.Step(fleet.Connected{Target: send.Target.ID})
+	}
+	return c, err
+}
+
 // releaseConn returns the connection to the pool after a complete request and
 // response; otherwise it closes the connection.
 func (x *exchange) releaseConn(c *conn, resp *http.Response, written <-chan error, end fleet.AttemptEnd) {
@@ -106,7 +116,12 @@
 	if len(x.body) > 0 || x.r.ContentLength == 0 && x.r.Header.Get("Content-Length") != "" {
 		h.Set("Content-Length", strconv.Itoa(len(x.body)))
 	}
-	x.node.opts.HeaderCodec.WriteRequestHeaders(h, send, timeLeft)
+	if send.Relay.Address != "" {
+		x.node.opts.HeaderCodec.WriteRelayHeaders(h, timeLeft)
+		h.Set(headerAttemptsLeft, strconv.Itoa(send.Relay.AttemptsLeft))
+	} else {
+		x.node.opts.HeaderCodec.WriteRequestHeaders(h, send, timeLeft)
+	}
 	var head bytes.Buffer
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", x.r.Method, x.r.RequestURI, x.r.Host)
 	_ = h.Write(&head) // writes to a buffer cannot fail
@@ -137,6 +152,8 @@
 	}
 	x.limit = metadata.Limit
 	switch {
+	case isPeerError(send, resp.Header, metadata.Signed):
+		return readPeerError(resp), resp
 	case resp.StatusCode == http.StatusMisdirectedRequest:
 		return fleet.AttemptEnd{Outcome: fleet.OutcomeMisdirected, Status: resp.StatusCode, FailedAddress: metadata.FailedAddress}, resp
 	case metadata.NotRun:
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -71,28 +71,31 @@
 
 // get returns an idle connection to the target, or a new one if there is none
 // or fresh is set. The key distinguishes incarnations of a target at one
-// address.
-func (p *pool) get(ctx context.Context, key, address string, fresh bool) (*conn, error) {
+// address. New connections come from localIP, unless that is nil.
+func (p *pool) get(ctx context.Context, key, address string, localIP net.IP, fresh bool) (*conn, error) {
 	if !fresh {
 		if c := p.takeIdle(key); c != nil {
 			return c, nil
 		}
 	}
-	c, err := dial(ctx, address)
+	c, err := dial(ctx, address, localIP)
 	if err != nil {
 		return nil, err
 	}
 	return &conn{Conn: c, br: bufio.NewReaderSize(c, connBufferBytes), targetKey: key, maxIdle: maxIdleTime}, nil
 }
 
-// dial connects to a target.
-func dial(ctx context.Context, address string) (net.Conn, error) {
+// dial connects to a target or a peer, from localIP unless that is nil.
+func dial(ctx context.Context, address string, localIP net.IP) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: connectTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
 	}, Control: setUnackedTimeout}
+	if localIP != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: localIP}
+	}
 	c, err := dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
-		return nil, fmt.Errorf("connect to target at %q: %w", address, err)
+		return nil, fmt.Errorf("connect to %q: %w", address, err)
 	}
 	return c, nil
 }
@@ -100,7 +103,7 @@
 // checkTarget connects to a target and reports the result to the decision core.
 func (n *Node) checkTarget(check fleet.CheckTarget) {
 	result := fleet.CheckAccepted
-	c, err := dial(n.ctx, check.Target.Address)
+	c, err := dial(n.ctx, check.Target.Address, nil)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		result = fleet.CheckRefused
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -50,6 +51,9 @@
 	// WriteRequestHeaders sets the headers of one attempt; timeLeft is how long the
 	// target may take.
 	WriteRequestHeaders(h http.Header, send fleet.Send, timeLeft time.Duration)
+	// WriteRelayHeaders sets the headers of a request that is sent to a peer, which
+	// authenticates the caller itself.
+	WriteRelayHeaders(h http.Header, timeLeft time.Duration)
 	ReadResponse(status int, h http.Header) ResponseMetadata
 	// SetRequestID sets the request's ID in a response from this instance.
 	SetRequestID(h http.Header, id string)
@@ -74,6 +78,8 @@
 	MemoryReserver MemoryReserver
 	Log            logr.Logger
 	Metrics        Metrics
+	// LocalIP is the address from which this instance connects to its peers.
+	LocalIP net.IP
 	// SendGossip sends a message to the peers; nil for an instance without peers. It
 	// must not block.
 	SendGossip func(fleet.SendGossip)
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -30,7 +30,10 @@
 )
 
 // ServeHTTP handles one request of a caller.
-func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) { n.serve(w, r, 0) }
+
+// serve handles one request of a caller, or of a peer if it has attempts left.
+func (n *Node) serve(w http.ResponseWriter, r *http.Request, attemptsLeft int) {
 	metadata := n.opts.HeaderCodec.ReadRequest(r.Header)
 	n.awaitConfig(r.Context())
 	config, stale := n.Config()
@@ -65,6 +68,7 @@
 		ID: metadata.ID, Route: route, Config: config, Caller: caller,
 		PromptTokens: metadata.PromptTokens, MaxAnswerTokens: metadata.MaxAnswerTokens, SharedParts: metadata.SharedParts,
 		ResumeAfter: x.lastEventID, Fingerprint: fingerprint(r, metadata.APIKey, body),
+		Relayed: attemptsLeft > 0, AttemptsLeft: attemptsLeft,
 	}, timeLeft, x)
 	defer context.AfterFunc(r.Context(), func() { n.Step(fleet.CallerLeft{Request: x.requestID}) })()
 	x.runCommands()
