fleet: the path to targets is known by service

Cause: one state for the whole instance. A service may be reached from elsewhere only, be down for everybody, or be sound while another is not. Fix: path, checks and peers that could not help are kept by service. A service that is lost here and that no peer reaches is refused at once. Crashes that were noticed behind a lost path are checked again when it is back, so that a small service whose targets all crash is not mistaken for a lost path. Newly listed targets of a lost service are checked at once.

--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -144,7 +144,7 @@
 	}
 	a.triedTargets = append(a.triedTargets, a.target.ID)
 	a.target.health.recordFailure(c.now, weight, severe)
-	if severe && c.path.state == pathSound { // otherwise the failure says nothing of the target
+	if severe && c.pathTo(a.target.Service).state == pathSound { // otherwise the failure says nothing of the target
 		c.outbox.pending.FailedTargets = append(c.outbox.pending.FailedTargets, a.target.ID)
 		c.scheduleGossip()
 	}
@@ -188,7 +188,7 @@
 		c.retryOrFail(a, "failed")
 	case OutcomeNotConnected:
 		c.recordTargetFailure(a, true)
-		c.recordPathFailure(target.ID, true)
+		c.recordPathFailure(&target.Target, true)
 		a.unreachableDomain = target.FailureDomain
 		c.removeAttemptLoads(a)
 		c.recordConnectFailure(target)
@@ -198,7 +198,7 @@
 		c.handleNotRun(a, ev)
 	case OutcomeBroken:
 		c.recordTargetFailure(a, true)
-		c.recordPathFailure(target.ID, false)
+		c.recordPathFailure(&target.Target, false)
 		wait := c.checkBrokenRun(a)
 		c.removeAttemptLoads(a)
 		a.attemptsRun++
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -60,8 +60,8 @@
 	demands           map[string]*demand              // by service
 	firstEventRatios  map[string]float64              // see firstEventRatio, by service
 	domains           map[string]*domainHealth        // failure domains that failed since their last success
-	path              targetPath
-	relayedCount      int // requests of peers in flight
+	paths             map[string]*targetPath          // by service
+	relayedCount      int                             // requests of peers in flight
 	stopping          bool
 	// During a stop, a request that arrives after admitAllUntil is admitted only if
 	// it is expected to end by stopDeadline.
@@ -77,7 +77,7 @@
 		requests: make(map[RequestID]*activeRequest), attempts: make(map[AttemptID]*activeRequest),
 		roundRobin: make(map[string]int), peers: make(map[string]*peer),
 		retryBudgets: make(map[string]*retryBudget), culprits: quarantine.NewCulprits(), announcedVerdicts: make(map[quarantine.Fingerprint]bool), domains: make(map[string]*domainHealth),
-		targetChecks: make(map[incarnation]*targetCheck), demands: make(map[string]*demand), firstEventRatios: make(map[string]float64),
+		targetChecks: make(map[incarnation]*targetCheck), demands: make(map[string]*demand), paths: make(map[string]*targetPath), firstEventRatios: make(map[string]float64),
 		store: storeState{reachable: true, departed: make(map[incarnation]time.Duration)},
 	}
 	c.updateInstanceDomains()
--- a/internal/fleet/domain_health.go
+++ b/internal/fleet/domain_health.go
@@ -57,16 +57,16 @@
 	if len(d.failedTargets) >= domainFailureThreshold && c.now >= d.avoidUntil {
 		d.avoidUntil = c.now + domainRetryDelay
 		c.log("domain-avoided", "domain", target.FailureDomain, "failed_targets", len(d.failedTargets))
-		c.abandonSilentAttempts(target.FailureDomain)
+		c.abandonSilentAttempts(func(other *targetState) bool { return other.FailureDomain == target.FailureDomain })
 	}
 }
 
 // abandonSilentAttempts retries, at other targets or by way of a peer, the repeatable
-// requests at silent targets of a domain that cannot be reached; empty means any domain.
-func (c *Core) abandonSilentAttempts(domain string) {
+// requests at those silent targets that cannot be reached.
+func (c *Core) abandonSilentAttempts(unreachable func(*targetState) bool) {
 	var silent []*activeRequest
 	for _, a := range c.attempts {
-		if a.relayedBy == "" && (domain == "" || a.target.FailureDomain == domain) && c.now-max(a.lastEventAt, a.target.lastHeardAt) >= domainSilenceTimeout && a.arrival.Route.Retryable() {
+		if a.relayedBy == "" && unreachable(a.target) && c.now-max(a.lastEventAt, a.target.lastHeardAt) >= domainSilenceTimeout && a.arrival.Route.Retryable() {
 			silent = append(silent, a)
 		}
 	}
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -57,11 +57,10 @@
 	domain        string
 	lastMessageAt time.Duration
 	loads         map[uint64]placedLoad // by TargetLoad.Key
-	// relayAddress is where the peer serves requests of others. relayFailed says that it
-	// could not serve one, the last at relayFailedAt.
+	// relayAddress is where the peer serves requests of others. relayFailures are the times
+	// at which it last could not, by service.
 	relayAddress  string
-	relayFailed   bool
-	relayFailedAt time.Duration
+	relayFailures map[string]time.Duration
 }
 
 // placedLoad is a load with the target that carries it, kept so that the load can be
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -77,6 +77,7 @@
 		target := &targetState{Target: t, advancedAt: c.now, leaving: t.State == Draining, gone: c.isReplaced(t)}
 		c.targets[t.ID] = target
 		c.addTarget(target)
+		c.checkNewTarget(target)
 		c.log("target-listed", "target", t.ID, "service", t.Service, "address", t.Address, "domain", t.FailureDomain)
 		return
 	}
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -31,19 +31,19 @@
 }
 
 // relayPeer returns the name of a peer that may serve the request, or an empty string: as
-// long as the own path to the targets is sound, for requests that a peer has sent, and
-// where no peer is left.
+// long as the own path to the service's targets is sound, for requests that a peer has
+// sent, and where no peer is left.
 func (c *Core) relayPeer(a *activeRequest) string {
-	if c.path.state == pathSound || a.arrival.Relayed || a.relays >= maxRelays {
+	if c.pathTo(a.service).state == pathSound || a.arrival.Relayed || a.relays >= maxRelays {
 		return ""
 	}
 	var own, others, doubted []string
 	for name, p := range c.peers {
-		sinceFailure := c.now - p.relayFailedAt
+		failedAt, failed := p.relayFailures[a.service]
 		switch {
 		case p.relayAddress == "" || c.now-p.lastMessageAt > relayPeerTimeout:
-		case p.relayFailed && sinceFailure < relayRetryDelay:
-		case p.relayFailed && sinceFailure < relayDoubtTime:
+		case failed && c.now-failedAt < relayRetryDelay:
+		case failed && c.now-failedAt < relayDoubtTime:
 			doubted = append(doubted, name)
 		case p.domain == c.opts.FailureDomain:
 			own = append(own, name)
@@ -100,11 +100,11 @@
 		a.hasFailureAnswer = true
 		c.refuseOrFail(a, result.TargetsRefused, minRetryAfter)
 	case OutcomeNotConnected:
-		c.avoidRelay(name)
+		c.avoidRelay(name, a.service)
 		c.dispatch(a)
 	case OutcomeNotRun, OutcomeMisdirected:
 		if isRefusalOfPeer(ev.Refusal) {
-			c.avoidRelay(name)
+			c.avoidRelay(name, a.service)
 			c.dispatch(a)
 			return
 		}
@@ -128,10 +128,13 @@
 	return code.Family() != result.FamilyRefused
 }
 
-// avoidRelay records that a peer could not serve a request.
-func (c *Core) avoidRelay(name string) {
+// avoidRelay records that a peer could not serve a request to a service.
+func (c *Core) avoidRelay(name, service string) {
 	if p := c.peers[name]; p != nil {
-		p.relayFailed, p.relayFailedAt = true, c.now
+		if p.relayFailures == nil {
+			p.relayFailures = make(map[string]time.Duration)
+		}
+		p.relayFailures[service] = c.now
 	}
 }
 
@@ -143,7 +146,7 @@
 		return false
 	case c.stopping:
 		c.finishRequest(a, Finish{Code: result.Stopping, RetryAfter: minRetryAfter})
-	case c.path.state == pathLost:
+	case c.pathTo(a.service).state == pathLost:
 		c.finishRequest(a, Finish{Code: result.NoTarget, RetryAfter: minRetryAfter})
 	case c.relayedCount > maxRelayed:
 		c.finishRequest(a, Finish{Code: result.QueueFull, RetryAfter: minRetryAfter})
--- a/internal/fleet/relay_test.go
+++ b/internal/fleet/relay_test.go
@@ -177,23 +177,29 @@
 	}
 }
 
-// A service whose targets are all down is down for the peers too.
-func TestOutageOfAServiceIsNoLossOfThePath(t *testing.T) {
+// A service that can be reached from nowhere is refused at once, once peers have said so.
+// Other services are not affected.
+func TestServiceThatNobodyReachesIsRefusedAtOnce(t *testing.T) {
 	h := newHarness(t, 3)
 	h.step(PeerGossip{From: "front-2", RelayAddress: "10.1.0.2:7342"})
-	for range 3 {
-		id := h.submit(routeIdempotent, 0)
-		for h.finishes[id].Code == 0 {
-			h.step(AttemptEnd{Attempt: h.lastSend(id).Attempt, Outcome: OutcomeNotConnected})
-			if h.core.path.state == pathDoubted {
-				h.step(TargetChecked{h.core.targets["pool-00"].Target, CheckAccepted})
-			}
-			if h.lastSend(id).Relay.Address != "" {
-				h.step(AttemptEnd{Attempt: h.lastSend(id).Attempt, Outcome: OutcomeNotRun, Refusal: result.NoTarget})
-			}
-		}
-		must.Eq(t, pathSound, h.core.path.state)
+	for _, target := range h.core.targetsByService["app"] {
+		h.step(TargetChecked{target.Target, CheckRefused})
+	}
+	for id := range h.core.pathTo("app").pendingChecks {
+		h.step(TargetChecked{h.core.targets[id].Target, CheckRefused})
 	}
+	must.Eq(t, pathLost, h.core.pathTo("app").state)
+	must.Eq(t, pathSound, h.core.pathTo("pool").state)
+	id := h.submit(routeNonIdempotent, 0)
+	must.Eq(t, "front-2", h.lastSend(id).Relay.Peer)
+	h.step(AttemptEnd{Attempt: h.lastSend(id).Attempt, Outcome: OutcomeNotRun, Refusal: result.NoTarget})
+	must.Eq(t, result.NoTarget, h.finishes[id].Code)
+	id = h.submit(routeNonIdempotent, 0)
+	must.Eq(t, 0, h.sendCount(id))
+	must.Eq(t, result.NoTarget, h.finishes[id].Code)
+	must.Eq(t, "", h.lastSend(h.submit(routeShort, 1000)).Relay.Address)
+	h.step(TargetChecked{h.core.targets["app-01"].Target, CheckAccepted})
+	must.Eq(t, "", h.lastSend(h.submit(routeNonIdempotent, 0)).Relay.Address)
 }
 
 // A peer never sends a request on, uses no more attempts than are left, and takes a bounded
@@ -220,7 +226,7 @@
 	for _, target := range []string{"pool-00", "pool-01"} {
 		h.step(TargetChecked{h.core.targets[target].Target, CheckUnreachable})
 	}
-	h.core.losePath()
+	h.core.losePath(h.core.pathTo("app"))
 	must.Eq(t, result.NoTarget, h.finishes[submit(2)].Code)
 	for _, send := range h.sends {
 		must.Eq(t, "", send.Relay.Address)
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -164,6 +164,10 @@
 		c.sendToPeer(a, peer)
 		return
 	}
+	if c.pathTo(a.service).state == pathLost {
+		c.refuseOrFail(a, result.NoTarget, noTargetRetryAfter)
+		return
+	}
 	p := c.choosePlacement(a)
 	switch {
 	case p.primary == nil && c.canWaitForRoom(a):
--- a/internal/fleet/target_path.go
+++ b/internal/fleet/target_path.go
@@ -1,27 +1,29 @@
 package fleet
 
 import (
-	"slices"
 	"time"
 
 	"github.com/medlardeck/medlardeck/internal/quarantine"
 )
 
-// Detection of the loss of this instance's own path to the targets.
+// Detection of the loss of this instance's own path to the targets of a service.
 const (
 	// pathDoubtThreshold is the number of targets with failures in pathDoubtWindow, without
-	// a new connection to any target in between, from which the own path is in doubt.
+	// a new connection to any target in between, from which the path is in doubt; fewer if
+	// the service has fewer targets.
 	pathDoubtThreshold = 2
 	pathDoubtWindow    = 1500 * time.Millisecond
-	// pathCheckCount is the number of other targets that are checked at a time.
+	// pathCheckCount is the number of targets that are checked at a time.
 	pathCheckCount = 3
-	// pathCheckInterval is the time between checks while the path is in doubt or lost.
-	pathCheckInterval = 300 * time.Millisecond
-	// maxHeldCrashes bounds the crashes that wait for the end of a doubt.
+	// minPathCheckInterval and maxPathCheckInterval bound the time between checks while the
+	// path is in doubt or lost; it doubles with each check.
+	minPathCheckInterval = 300 * time.Millisecond
+	maxPathCheckInterval = 600 * time.Millisecond
+	// maxHeldCrashes bounds the crashes that wait until the path is sound.
 	maxHeldCrashes = 64
 )
 
-// pathState says whether this instance reaches the targets.
+// pathState says whether this instance reaches the targets of a service.
 type pathState uint8
 
 const (
@@ -32,17 +34,18 @@
 	pathLost
 )
 
-// targetPath is what this instance knows of its own path to the targets. Only new
-// connections count as successes: established ones may live on while new ones fail.
+// targetPath is what this instance knows of its own path to the targets of a service. Only
+// new connections count as successes: established ones may live on while new ones fail.
 type targetPath struct {
-	state pathState
+	service string
+	state   pathState
 	// failed are the targets that failed since the last new connection, by id.
 	failed map[string]pathFailure
 	// pendingChecks are the ids of targets whose checks have no result yet.
 	pendingChecks map[string]bool
-	checksPlanned bool
-	// heldCrashes wait for the end of a doubt: behind a lost path, sound targets look
-	// as if they had ended.
+	checkInterval time.Duration
+	// heldCrashes wait until the path is sound: behind a lost one, sound targets look as
+	// if they had ended.
 	heldCrashes []heldCrash
 }
 
@@ -58,37 +61,60 @@
 	suspects []quarantine.Fingerprint
 }
 
-// recordConnected records a new connection to a target: the path is sound.
+// pathTo returns what is known of the path to the targets of a service.
+func (c *Core) pathTo(service string) *targetPath {
+	path := c.paths[service]
+	if path == nil {
+		path = &targetPath{service: service, failed: make(map[string]pathFailure)}
+		c.paths[service] = path
+	}
+	return path
+}
+
+// recordConnected records a new connection to a target: the path to its service is sound.
 func (c *Core) recordConnected(id string) {
-	path := &c.path
+	target := c.targets[id]
+	if target == nil {
+		return
+	}
+	path := c.pathTo(target.Service)
 	if len(path.failed) == 0 {
 		return
 	}
+	delete(c.paths, target.Service)
 	if path.state == pathLost {
-		c.log("target-path-regained", "target", id)
-		c.incrementCounter("target_path", "regained")
-		for failed := range path.failed {
-			if target := c.targets[failed]; target != nil {
-				target.health = health{}
-			}
-		}
-		clear(c.domains)
+		c.regainPath(path)
+		return
 	}
-	held := path.heldCrashes
-	c.path = targetPath{checksPlanned: path.checksPlanned}
-	for _, crash := range held {
+	for _, crash := range path.heldCrashes {
 		c.reportCrash(crash.target, crash.suspects)
 	}
 }
 
+// regainPath forgets the failures behind the lost path, and checks again whether targets
+// have ended that seemed to.
+func (c *Core) regainPath(path *targetPath) {
+	c.log("target-path-regained", "service", path.service, "held_crashes", len(path.heldCrashes))
+	c.incrementCounter("target_path", "regained")
+	for failed := range path.failed {
+		if target := c.targets[failed]; target != nil {
+			target.health = health{}
+			delete(c.domains, target.FailureDomain)
+		}
+	}
+	for _, crash := range path.heldCrashes {
+		if c.targetChecks[crash.target.incarnation()] == nil {
+			c.targetChecks[crash.target.incarnation()] = &targetCheck{suspects: crash.suspects}
+			c.emit(CheckTarget{crash.target})
+		}
+	}
+}
+
 // recordPathFailure records a target that could not be connected to, or whose connection
 // broke. At pathDoubtThreshold it checks whether other targets can be reached.
-func (c *Core) recordPathFailure(id string, notConnected bool) {
-	path := &c.path
-	if path.failed == nil {
-		path.failed = make(map[string]pathFailure)
-	}
-	path.failed[id] = pathFailure{c.now, notConnected}
+func (c *Core) recordPathFailure(target *Target, notConnected bool) {
+	path := c.pathTo(target.Service)
+	path.failed[target.ID] = pathFailure{c.now, notConnected}
 	if path.state != pathSound {
 		return
 	}
@@ -100,66 +126,55 @@
 		}
 		anyNotConnected = anyNotConnected || failure.notConnected
 	}
-	if !anyNotConnected || len(path.failed) < pathDoubtThreshold {
+	if !anyNotConnected || len(path.failed) < min(pathDoubtThreshold, len(c.listedTargets(path.service))) {
 		return
 	}
-	path.state = pathDoubted
-	c.log("target-path-doubted", "failed_targets", len(path.failed))
-	c.checkPath()
+	path.state, path.checkInterval = pathDoubted, minPathCheckInterval
+	c.log("target-path-doubted", "service", path.service, "failed_targets", len(path.failed))
+	c.checkPath(path)
 }
 
 // checkPath checks some targets, at first those that have not failed, and does so again
-// in pathCheckInterval while the path is not sound.
-func (c *Core) checkPath() {
-	path := &c.path
-	if path.state == pathSound || path.checksPlanned {
+// while the path is not sound.
+func (c *Core) checkPath(path *targetPath) {
+	if c.paths[path.service] != path {
 		return
 	}
-	path.checksPlanned = true
-	c.afterFunc(pathCheckInterval, func() {
-		c.path.checksPlanned = false
-		c.checkPath()
-	})
+	c.afterFunc(path.checkInterval, func() { c.checkPath(path) })
+	path.checkInterval = min(maxPathCheckInterval, 2*path.checkInterval)
 	if len(path.pendingChecks) > 0 {
 		return
 	}
 	path.pendingChecks = make(map[string]bool)
-	for _, target := range c.pathCheckTargets() {
+	for _, target := range c.pathCheckTargets(path) {
 		path.pendingChecks[target.ID] = true
 		c.emit(CheckTarget{target.Target})
 	}
 }
 
-// pathCheckTargets draws the targets to check: of each failure domain at least one if
-// possible, and those that have not failed before the others.
-func (c *Core) pathCheckTargets() []*targetState {
-	var services []string
-	for service := range c.targetsByService {
-		services = append(services, service)
-	}
-	slices.Sort(services)
-	var pool []*targetState
-	for _, service := range services {
-		pool = append(pool, selectFunc(c.targetsByService[service], func(target *targetState) bool {
-			return !target.gone && !target.leaving
-		})...)
-	}
+// listedTargets returns the targets of a service that are neither leaving nor gone.
+func (c *Core) listedTargets(service string) []*targetState {
+	return selectFunc(c.serviceTargets(service), func(target *targetState) bool { return !target.gone && !target.leaving })
+}
+
+// pathCheckTargets draws the targets to check, those that have not failed first.
+func (c *Core) pathCheckTargets(path *targetPath) []*targetState {
+	pool := c.listedTargets(path.service)
 	c.rng.Shuffle(len(pool), func(i, j int) { pool[i], pool[j] = pool[j], pool[i] })
-	seen := make(map[string]int)
-	rank := make(map[*targetState]int, len(pool))
-	for _, failed := range []bool{false, true} {
-		for _, target := range pool {
-			if _, ok := c.path.failed[target.ID]; ok == failed {
-				rank[target] = seen[target.FailureDomain]
-				if failed {
-					rank[target] += len(pool)
-				}
-				seen[target.FailureDomain]++
-			}
-		}
+	hasFailed := func(target *targetState) bool {
+		_, ok := path.failed[target.ID]
+		return ok
+	}
+	ordered := append(selectFunc(pool, func(target *targetState) bool { return !hasFailed(target) }), selectFunc(pool, hasFailed)...)
+	return ordered[:min(len(ordered), pathCheckCount)]
+}
+
+// checkNewTarget checks a target that was listed while the path to its service is lost: it
+// may be the first that can be reached.
+func (c *Core) checkNewTarget(target *targetState) {
+	if path := c.paths[target.Service]; path != nil && path.state == pathLost {
+		c.emit(CheckTarget{target.Target})
 	}
-	slices.SortStableFunc(pool, func(a, b *targetState) int { return rank[a] - rank[b] })
-	return pool[:min(len(pool), pathCheckCount)]
 }
 
 // recordPathCheck records the result of a check of any target.
@@ -168,32 +183,32 @@
 		c.recordConnected(ev.Target.ID)
 		return
 	}
-	path := &c.path
+	path := c.pathTo(ev.Target.Service)
 	pending := path.pendingChecks[ev.Target.ID]
 	delete(path.pendingChecks, ev.Target.ID)
-	c.recordPathFailure(ev.Target.ID, true)
+	c.recordPathFailure(&ev.Target, true)
 	if pending && len(path.pendingChecks) == 0 && path.state == pathDoubted {
-		c.losePath()
+		c.losePath(path)
 	}
 }
 
-// losePath records that this instance reaches no target. Requests at silent targets are
-// tried again by way of peers.
-func (c *Core) losePath() {
-	c.path.state = pathLost
-	c.log("target-path-lost", "failed_targets", len(c.path.failed), "held_crashes", len(c.path.heldCrashes))
+// losePath records that this instance reaches no target of a service. Requests at silent
+// targets are tried again by way of peers.
+func (c *Core) losePath(path *targetPath) {
+	path.state = pathLost
+	c.log("target-path-lost", "service", path.service, "failed_targets", len(path.failed), "held_crashes", len(path.heldCrashes))
 	c.incrementCounter("target_path", "lost")
-	c.path.heldCrashes = nil
-	c.abandonSilentAttempts("")
+	c.abandonSilentAttempts(func(target *targetState) bool { return target.Service == path.service })
 }
 
-// confirmCrash reports a crash unless the own path to the targets is lost. While that is
-// in doubt, the crash is held.
+// confirmCrash reports a crash. While the own path to the targets is in doubt or lost, the
+// crash is held instead.
 func (c *Core) confirmCrash(target Target, suspects []quarantine.Fingerprint) {
+	path := c.pathTo(target.Service)
 	switch {
-	case c.path.state == pathSound:
+	case path.state == pathSound:
 		c.reportCrash(target, suspects)
-	case c.path.state == pathDoubted && len(c.path.heldCrashes) < maxHeldCrashes:
-		c.path.heldCrashes = append(c.path.heldCrashes, heldCrash{target, suspects})
+	case len(path.heldCrashes) < maxHeldCrashes:
+		path.heldCrashes = append(path.heldCrashes, heldCrash{target, suspects})
 	}
 }
--- a/internal/fleet/target_path_test.go
+++ b/internal/fleet/target_path_test.go
@@ -20,7 +20,7 @@
 		})
 		w.repeat(100*time.Millisecond, 20*time.Second, func() {
 			for _, in := range w.instances {
-				must.NotEq(t, pathLost, in.core.path.state)
+				must.NotEq(t, pathLost, in.core.pathTo("pool").state)
 			}
 		})
 		w.runUntil(22 * time.Second)
@@ -41,14 +41,20 @@
 	for _, target := range h.core.targetsByService["pool"] {
 		h.step(TargetChecked{target.Target, CheckRefused})
 	}
-	must.Eq(t, pathDoubted, h.core.path.state)
+	must.Eq(t, pathLost, h.core.pathTo("pool").state)
 	must.SliceEmpty(t, h.core.reportedCrashes)
-	for id := range h.core.path.pendingChecks {
-		h.step(TargetChecked{h.core.targets[id].Target, CheckRefused})
-	}
-	must.Eq(t, pathLost, h.core.path.state)
-	h.step(Connected{"pool-00"})
+	// With the path, the targets are found alive, except one.
+	h.step(Connected{"pool-05"})
 	must.SliceEmpty(t, h.core.reportedCrashes)
+	for _, target := range h.core.targetsByService["pool"] {
+		result := CheckAccepted
+		if target.ID == sends[0].Target.ID {
+			result = CheckRefused
+		}
+		h.step(TargetChecked{target.Target, result})
+	}
+	must.Len(t, 1, h.core.reportedCrashes)
+	must.Eq(t, sends[0].Target.ID, h.core.reportedCrashes[0].Death.Target)
 }
 
 // Real crashes that look like a lost path for a moment are reported once the path is known
@@ -60,7 +66,7 @@
 	must.Len(t, 1, h.core.reportedCrashes)
 	h.step(TargetChecked{first, CheckRefused})
 	h.step(TargetChecked{second, CheckRefused})
-	must.Eq(t, pathDoubted, h.core.path.state)
+	must.Eq(t, pathDoubted, h.core.pathTo("pool").state)
 	h.core.confirmCrash(second, nil)
 	must.Len(t, 1, h.core.reportedCrashes)
 	h.step(TargetChecked{h.core.targets["pool-02"].Target, CheckAccepted})
