forward: a target may be silent for longer before its connection is given up

Callers saw: 502 for requests that may not run twice, when a sound target stopped reading for more than 1.5 s; streams behind a target silent for two seconds could end too, since TCP_USER_TIMEOUT overrides the count of keep-alive probes. Evidence: TestRequestToATargetThatStopsReadingIsServed, on real sockets, failed before (502 after 1.9 s) and passes. The keep-alive case could not be shown on real sockets: a stopped process still acknowledges probes, and the kernel here has no socket filters. Repeatable requests leave silent targets earlier by their own rules.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -23,9 +23,11 @@
 	// connectTimeout bounds connecting to a target in the same region, where a
 	// handshake takes milliseconds.
 	connectTimeout = 250 * time.Millisecond
-	// unackedTimeout is how long sent bytes may stay unacknowledged before the
-	// connection counts as broken.
-	unackedTimeout = 1500 * time.Millisecond
+	// unackedTimeout is how long sent bytes may stay unacknowledged, or unread by a
+	// target with a full buffer, before the connection counts as broken. On Linux it also
+	// decides when keep-alive probes give up. Sound targets may be silent for a second
+	// or two; the decision core tries repeatable requests elsewhere long before.
+	unackedTimeout = 4 * time.Second
 	// maxIdleTime is how long an idle connection is kept.
 	maxIdleTime = 4 * time.Second
 	// keepAliveMargin is how long before the target's announced idle timeout a
