forward: bytes without end that are no answer are given up soon

Callers saw: 502 after a second, and the process grew by what a target sent, where an answer's status line or headers had no end; and a request waited for 0.9 s where the body of a rejection or of a late answer to another request had none. Cause: only bodies that are passed on had a limit; http.ReadResponse reads a head of any length. Fix: a head has 64 KiB, with the interim and late ones before it. A body that is read only to use its connection again has 64 KiB and 0.1 s.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -18,6 +18,13 @@
 const (
 	// maxResponseBytes bounds a response that is buffered in memory.
 	maxResponseBytes = 8 << 20
+	// maxResponseHeadBytes bounds the status line and the headers of a response, and of
+	// the interim and late ones before it.
+	maxResponseHeadBytes = 64 << 10
+	// maxDiscardedBytes and discardTimeout bound a body that is read only to use its
+	// connection again.
+	maxDiscardedBytes = 64 << 10
+	discardTimeout    = 100 * time.Millisecond
 	// maxEventBytes bounds one event of an event stream.
 	maxEventBytes = 1 << 20
 	// deadlineGrace is how long after its deadline an attempt still waits for
@@ -58,7 +65,8 @@
 	}
 	defer x.clearConn()
 	timeLeft := send.Deadline - x.node.clock.now()
-	if err := c.SetDeadline(time.Now().Add(timeLeft + deadlineGrace)); err != nil {
+	c.deadline = time.Now().Add(timeLeft + deadlineGrace)
+	if err := c.SetDeadline(c.deadline); err != nil {
 		_ = c.Close()
 		return fleet.AttemptEnd{Outcome: fleet.OutcomeNotConnected, Cause: err.Error()}
 	}
@@ -153,13 +161,12 @@
 	x.limit = metadata.Limit
 	switch {
 	case isPeerError(send, resp.Header, metadata.Signed):
-		return readPeerError(resp), resp
+		return readPeerError(c, resp), resp
 	case resp.StatusCode == http.StatusMisdirectedRequest:
 		return fleet.AttemptEnd{Outcome: fleet.OutcomeMisdirected, Status: resp.StatusCode, FailedAddress: metadata.FailedAddress}, resp
 	case metadata.NotRun:
 		// A failure to read the body only rules out reuse of the connection.
-		_, derr := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes))
-		resp.Close = resp.Close || derr != nil
+		resp.Close = resp.Close || discardBody(c, resp) != nil
 		return fleet.AttemptEnd{Outcome: fleet.OutcomeNotRun, Status: resp.StatusCode, FailedAddress: metadata.FailedAddress}, resp
 	case resp.Header.Get("Content-Encoding") != "":
 		return brokenAttempt(errEncodedResponse), resp
@@ -180,6 +187,8 @@
 // late responses to earlier requests on the same connection.
 func (x *exchange) readResponseHead(c *conn) (*http.Response, ResponseMetadata, error) {
 	req := &http.Request{Method: x.r.Method}
+	c.limiter.limited, c.limiter.left = true, maxResponseHeadBytes
+	defer func() { c.limiter.limited = false }()
 	for range maxStaleResponses {
 		resp, err := http.ReadResponse(c.br, req)
 		if err != nil {
@@ -193,13 +202,28 @@
 			return resp, metadata, nil
 		}
 		x.node.opts.Metrics.Add("answers_dropped", "foreign")
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes)); err != nil {
+		c.limiter.limited = false
+		if err := discardBody(c, resp); err != nil {
 			return nil, ResponseMetadata{}, fmt.Errorf("%w: %w", errRequestMismatch, err)
 		}
+		c.limiter.limited = true
 	}
 	return nil, ResponseMetadata{}, errRequestMismatch
 }
 
+// discardBody reads a short body to its end. It fails if the body is long or does not end
+// soon; the connection can't be used again then.
+func discardBody(c *conn, resp *http.Response) error {
+	if err := c.SetReadDeadline(time.Now().Add(discardTimeout)); err != nil {
+		return err
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardedBytes))
+	if err == nil && n == maxDiscardedBytes {
+		err = errResponseTooLarge
+	}
+	return errors.Join(err, c.SetReadDeadline(c.deadline))
+}
+
 // bufferResponse reads the whole response into memory. It is written to the
 // caller when the request ends, unless the response of another attempt replaces
 // it.
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -43,12 +44,34 @@
 type conn struct {
 	net.Conn
 	br        *bufio.Reader
+	limiter   *readLimiter // below br
 	targetKey string
 	reused    bool
+	deadline  time.Time // of the current attempt
 	idleSince time.Time
 	maxIdle   time.Duration
 }
 
+// readLimiter fails reads beyond a limit.
+type readLimiter struct {
+	io.Reader
+	limited bool
+	left    int // bytes, if limited
+}
+
+// Read implements io.Reader.
+func (l *readLimiter) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.Reader.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errResponseTooLarge
+	}
+	n, err := l.Reader.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
 // pool keeps idle connections by target key. The most recently used one is
 // reused first.
 type pool struct {
@@ -84,7 +107,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, br: bufio.NewReaderSize(c, connBufferBytes), targetKey: key, maxIdle: maxIdleTime}, nil
+	limiter := &readLimiter{Reader: c}
+	return &conn{
+		Conn: c, br: bufio.NewReaderSize(limiter, connBufferBytes), limiter: limiter, targetKey: key, maxIdle: maxIdleTime,
+	}, nil
 }
 
 // dial connects to a target or a peer, from localIP unless that is nil.
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -42,9 +41,8 @@
 
 // readPeerError returns the end of an attempt that a peer has answered in place of a
 // target. Only a gateway error leaves open whether the request ran.
-func readPeerError(resp *http.Response) fleet.AttemptEnd {
-	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes))
-	resp.Close = resp.Close || err != nil
+func readPeerError(c *conn, resp *http.Response) fleet.AttemptEnd {
+	resp.Close = resp.Close || discardBody(c, resp) != nil
 	if resp.StatusCode == http.StatusBadGateway || resp.StatusCode == http.StatusGatewayTimeout {
 		return fleet.AttemptEnd{Outcome: fleet.OutcomeFailed, Status: resp.StatusCode, Cause: errPeerFailed.Error()}
 	}
