forward: a stream that sends comments only counts as stalled

Callers saw: a resumable stream whose target sends comments or empty lines but no events was held until the route's timeout and then cut, although another target could serve it. Fix: only what has an id or data is progress; the rest is passed on as it comes.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -246,7 +246,8 @@
 }
 
 // relayStream passes an event stream on to the caller, one whole event at a
-// time. It skips events that the caller already has from an earlier attempt.
+// time. It skips events that the caller already has from an earlier attempt. Comments are
+// passed on, but do not show that the target makes progress.
 func (x *exchange) relayStream(send fleet.Send, resp *http.Response) fleet.AttemptEnd {
 	br := bufio.NewReaderSize(resp.Body, connBufferBytes)
 	for events := 0; ; events++ {
@@ -268,7 +269,9 @@
 		if id != "" {
 			x.lastEventID = id
 		}
-		x.node.Step(fleet.Progress{Attempt: send.Attempt, EventID: id, Limit: x.limit})
+		if id != "" || hasData(event) {
+			x.node.Step(fleet.Progress{Attempt: send.Attempt, EventID: id, Limit: x.limit})
+		}
 	}
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -257,6 +257,16 @@
 	return ""
 }
 
+// hasData reports whether a stream's event has any data.
+func hasData(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if bytes.HasPrefix(line, []byte("data")) {
+			return true
+		}
+	}
+	return false
+}
+
 // alreadySent reports whether the caller already has the event with this ID.
 // Only numeric IDs can be compared; an event with another ID counts as new.
 func alreadySent(id, last string) bool {
