fleet: slow streams are not left shortly before their deadline

Cause: the share of the caller's patience after which another target is tried was taken of the time to the deadline, if that was shorter. Evidence: TestSlowStreamIsNotLeftShortlyBeforeItsDeadline fails before and passes. Fix: once events have come, only the patience between events counts.

--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -79,14 +79,15 @@
 }
 
 // callerLeavesAt is the time at which the caller disconnects unless the next event
-// comes before.
+// comes before. After the first event the deadline does not count: another target would
+// not end the answer sooner.
 func (a *activeRequest) callerLeavesAt() time.Duration {
 	patience := a.arrival.Route.CallerTimeout
 	switch {
 	case patience <= 0:
 		return a.deadline
 	case a.anyEventDelivered:
-		return min(a.deadline, a.lastEventAt+patience)
+		return a.lastEventAt + patience
 	default:
 		return min(a.deadline, a.arrivedAt+patience)
 	}
--- a/internal/fleet/request_test.go
+++ b/internal/fleet/request_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -303,3 +304,18 @@
 	h.advance(400 * time.Millisecond)
 	must.Eq(t, 3, h.sendCount(id))
 }
+
+// A slow stream was left for another target shortly before its deadline, when it had been
+// silent for a part of the little time left, although it might still have ended in time.
+func TestSlowStreamIsNotLeftShortlyBeforeItsDeadline(t *testing.T) {
+	h := newHarness(t, 3)
+	id := h.submit(routeShort, 3000)
+	attempt := h.lastSend(id).Attempt
+	for event := 1; h.now < 9900*time.Millisecond; event++ {
+		h.step(Progress{Attempt: attempt, EventID: strconv.Itoa(event)})
+		h.advance(150 * time.Millisecond)
+	}
+	must.SliceEmpty(t, h.cancels)
+	h.step(AttemptEnd{Attempt: attempt, Outcome: OutcomeComplete})
+	must.Eq(t, result.Complete, h.finishes[id].Code)
+}
