fleet: a target that is listed again has not left

A departure was kept although the target had written its entry again, so that the next restore would have ignored the copy's entry and removed the target. The extended TestTargetsThatLeftStayGoneInARestoredList fails before. Relayed requests count at least one attempt, as others do.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -67,6 +67,7 @@
 		return
 	}
 	delete(c.store.pendingRemovals, t.ID)
+	delete(c.store.departed, t.incarnation())
 	if known != nil && (known.StartedMS != t.StartedMS || known.Address != t.Address || known.Service != t.Service) {
 		// The same id after a restart: the earlier loads and health do not apply.
 		c.deleteTarget(known)
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -114,10 +114,16 @@
 	must.True(t, h.acceptsRequests("pool-01"))
 	h.step(TargetListed{left})
 	must.False(t, h.acceptsRequests("pool-00"))
-	// It had only been cut off from the store, and writes its entry again.
+	// It had only been cut off from the store, and writes its entry again. From then on it
+	// has not left.
 	left.Outdated = false
 	h.step(TargetListed{left})
 	must.True(t, h.acceptsRequests("pool-00"))
+	left.Outdated = true
+	h.step(TargetRemoved{left.ID})
+	h.step(TargetListed{left})
+	h.advance(3 * time.Second)
+	must.True(t, h.acceptsRequests("pool-00"))
 }
 
 // The copy may list an earlier start of a target under the same id.
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -98,10 +98,11 @@
 
 // maxAttempts is the number of attempts that may run at targets.
 func (a *activeRequest) maxAttempts() int {
+	allowed := max(1, a.arrival.Route.MaxAttempts)
 	if a.arrival.Relayed {
-		return min(a.arrival.Route.MaxAttempts, a.arrival.AttemptsLeft)
+		return min(allowed, a.arrival.AttemptsLeft)
 	}
-	return max(1, a.arrival.Route.MaxAttempts)
+	return allowed
 }
 
 // handleRequestArrived admits a request and dispatches it, or refuses it because of a
