--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -188,13 +188,7 @@
 		a.hasFailureAnswer = true
 		c.retryOrFail(a, "failed")
 	case OutcomeNotConnected:
-		c.recordTargetFailure(a, true)
-		c.recordPathFailure(&target.Target, true)
-		a.unreachableDomain = target.FailureDomain
-		c.removeAttemptLoads(a)
-		c.recordConnectFailure(target)
-		a.attemptsNotRun++
-		c.retryOrFail(a, "not-connected")
+		c.handleNotConnected(a)
 	case OutcomeNotRun, OutcomeMisdirected:
 		c.handleNotRun(a, ev)
 	case OutcomeBroken:
@@ -213,6 +207,18 @@
 	}
 }
 
+// handleNotConnected retries the request after no connection to its target was made.
+func (c *Core) handleNotConnected(a *activeRequest) {
+	target := a.target
+	c.recordTargetFailure(a, true)
+	c.recordPathFailure(&target.Target, true)
+	a.unreachableDomain = target.FailureDomain
+	c.removeAttemptLoads(a)
+	c.recordConnectFailure(target)
+	a.attemptsNotRun++
+	c.retryOrFail(a, "not-connected")
+}
+
 // handleNotRun retries the request after the target answered that it did not run
 // it. The failedTarget is the helper that the answer names, or else the target itself: it
 // is marked as gone if another target has its address now; otherwise the failure
