workspace: a refilled bucket may miss its tokens by rounding

Callers saw: on arm64, a request that came back exactly after its wait was refused again. Cause: the compiler fuses rate x time + tokens there, which rounds once instead of twice. It passes now.

--- a/internal/workspace/limits.go
+++ b/internal/workspace/limits.go
@@ -109,13 +109,18 @@
 	// A cost above the size of the bucket is admitted when the bucket is full. The
 	// bucket is then overdrawn until it is refilled.
 	need := min(cost, burst)
-	if b.tokens < need {
+	if b.tokens < need-roundingTolerance {
 		return time.Duration((need - b.tokens) / rate * float64(time.Second)), false
 	}
 	b.tokens -= cost
 	return 0, true
 }
 
+// roundingTolerance is the number of tokens by which a refilled bucket may miss what the
+// wait was computed for. Processors that fuse a multiplication and an addition round
+// differently from others.
+const roundingTolerance = 1e-6
+
 // refill adds the tokens accrued since the last call, and decays the demand. The first
 // call fills the bucket.
 func (b *bucket) refill(now time.Duration, rate, burst float64) {
