--- a/internal/fleetnode/callers.go
+++ b/internal/fleetnode/callers.go
@@ -75,13 +75,34 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
-		if c.isStarted() || time.Since(c.acceptedAt) < newConnGrace {
+		if started, _ := c.state(); started || time.Since(c.acceptedAt) < newConnGrace {
 			return true
 		}
 	}
 	return false
 }
 
+// connCounts are numbers of open connections by their state: idle ones have served a
+// request and wait for the next, unused ones have not brought a byte yet.
+type connCounts struct{ inUse, idle, unused int }
+
+func (l *callerListener) counts() connCounts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var n connCounts
+	for c := range l.conns {
+		switch started, idle := c.state(); {
+		case !started:
+			n.unused++
+		case idle:
+			n.idle++
+		default:
+			n.inUse++
+		}
+	}
+	return n
+}
+
 // callerConn is one caller's connection.
 type callerConn struct {
 	*net.TCPConn
@@ -93,10 +114,10 @@
 	closing    bool // a read that gets no byte ends the connection
 }
 
-func (c *callerConn) isStarted() bool {
+func (c *callerConn) state() (started, idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.started
+	return c.started, c.idle
 }
 
 func (c *callerConn) setIdle() {
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -333,6 +333,7 @@
 	begin := time.Now()
 	i.node.Step(fleet.Stop{BalancerDelay: balancerLag, GracePeriod: grace})
 	time.Sleep(balancerLag)
+	i.logConnections("idle-connections-closing")
 	// Responses close their connections since the stop began. Callers on those that
 	// are still idle send their next request to another instance.
 	i.callers.closeIdle()
@@ -345,10 +346,16 @@
 	for time.Since(begin) < grace && (i.callers.isBusy() || !i.node.IdleFor(0)) {
 		time.Sleep(idlePollInterval)
 	}
-	i.opts.Log.Info("stopped", "instance", i.opts.Settings.Name, "cut_short", i.callers.isBusy())
+	i.logConnections("stopped", "instance", i.opts.Settings.Name, "cut_short", i.callers.isBusy())
 	i.Close()
 }
 
+// logConnections writes a line with the open connections of callers by their state.
+func (i *Instance) logConnections(event string, pairs ...any) {
+	n := i.callers.counts()
+	i.opts.Log.Info(event, append(pairs, "in_use", n.inUse, "idle", n.idle, "unused", n.unused)...)
+}
+
 // Close stops the instance immediately and interrupts open requests.
 func (i *Instance) Close() {
 	i.cancel()
