--- a/internal/fleetnode/callers_test.go
+++ b/internal/fleetnode/callers_test.go
@@ -109,3 +109,39 @@
 	must.NoError(t, err)
 	must.Eq(t, 200, readStatus(t, busyReader))
 }
+
+// A caller that sends its next request without waiting for an answer must not lose it when
+// the idle connections are closed: the request may have been read with the one before.
+func TestRequestReadWithTheOneBeforeIsNotCutByTheCloseOfIdleConnections(t *testing.T) {
+	listener, err := listenCallers("127.0.0.1:0")
+	must.NoError(t, err)
+	begun, cut := make(chan struct{}), make(chan bool, 1)
+	server := &http.Server{
+		ConnState: listener.recordState, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/second" {
+				close(begun)
+				select {
+				case <-r.Context().Done():
+					cut <- true
+				case <-time.After(200 * time.Millisecond):
+					cut <- false
+				}
+			}
+			_, _ = fmt.Fprint(w, "ok")
+		}),
+	}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	conn, err := net.Dial("tcp4", listener.Addr().String())
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = fmt.Fprint(conn, "GET /first HTTP/1.1\r\nHost: h\r\n\r\nGET /second HTTP/1.1\r\nHost: h\r\n\r\n")
+	must.NoError(t, err)
+	<-begun
+	listener.closeIdle()
+	must.False(t, <-cut)
+	br := bufio.NewReader(conn)
+	must.Eq(t, 200, readStatus(t, br))
+	must.Eq(t, 200, readStatus(t, br))
+}
