fleet: requests that wait are refused before the end of a planned stop

Cause: a waiting request was bounded by its own deadline only. The end of the stop was known, but compared with the time that a request needs once, at its arrival, and not at all in the balancer's lag. The class of fault: a resource with an end that is checked when it is taken, and not again while it is held.

Change: a stopping instance compares the time that is left with the time that the request needs at each placement: one that waits, or that would be sent, is refused as soon as it is not expected to end in time, while its caller can be served elsewhere. At the end of the stop the new event EndStop ends every open request by the answer that is true of it: refused if it never ran, 4004 stop-after-send otherwise, and refuses all that come later. The connections are closed after these answers.

--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -62,11 +62,8 @@
 	domains           map[string]*domainHealth        // failure domains that failed since their last success
 	paths             map[string]*targetPath          // by service
 	relayedCount      int                             // requests of peers in flight
-	stopping          bool
-	// During a stop, a request that arrives after admitAllUntil is admitted only if
-	// it is expected to end by stopDeadline.
-	admitAllUntil, stopDeadline time.Duration
-	lastArrivalAt               time.Duration
+	stop              stopState
+	lastArrivalAt     time.Duration
 }
 
 // New returns a Core without configuration and targets.
@@ -129,6 +126,8 @@
 		c.handlePeerGossip(ev)
 	case Stop:
 		c.beginStop(ev)
+	case EndStop:
+		c.endStop()
 	case Tick:
 	}
 }
@@ -139,44 +138,6 @@
 	return c.timers.Next()
 }
 
-// Stopping reports whether a planned stop has begun.
-func (c *Core) Stopping() bool { return c.stopping }
-
-// beginStop begins a planned stop; later calls have no effect.
-func (c *Core) beginStop(ev Stop) {
-	if c.stopping {
-		return
-	}
-	c.stopping = true
-	c.admitAllUntil, c.stopDeadline = c.now+ev.BalancerDelay, c.now+ev.GracePeriod
-}
-
-// IdleFor reports whether no request is in flight and none arrived for minIdle.
-func (c *Core) IdleFor(minIdle time.Duration) bool {
-	return len(c.requests) == 0 && c.now-c.lastArrivalAt >= minIdle
-}
-
-// canFinishBeforeStop reports whether a request may be admitted: always while no
-// stop is in progress or the balancer may not have noticed it yet, afterwards only
-// if the request is expected to end before the process does.
-func (c *Core) canFinishBeforeStop(a *activeRequest) bool {
-	if !c.stopping || c.now < c.admitAllUntil {
-		return true
-	}
-	neededTime := stopLatencyFactor * a.arrival.Route.TargetLatency
-	if e := c.engineOf(a); e != nil {
-		// Assume the longest answer that the caller allows: an answer that is cut off
-		// by the stop is lost.
-		stepMS := e.StepMS + float64(e.Slots)*e.decodeMS(float64(e.MeanPromptTokens))
-		neededTime += fromMS(e.prefillMS(a.arrival.PromptTokens, 1) + float64(a.arrival.MaxAnswerTokens)*stepMS)
-	}
-	return c.now+neededTime < c.stopDeadline
-}
-
-// stopLatencyFactor is the multiple of the route's target latency that a request
-// is assumed to take to its first event, or to a plain answer, during a stop.
-const stopLatencyFactor = 2
-
 // Config returns the configuration in force, or nil before the first one.
 func (c *Core) Config() *Config { return c.config }
 
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -218,6 +218,10 @@
 	GracePeriod time.Duration
 }
 
+// EndStop ends all requests of a planned stop, since the process is about to end, and
+// refuses those that arrive later.
+type EndStop struct{}
+
 // Helper is a target that prefills a part of a split prompt.
 type Helper struct {
 	Target, Address string
@@ -320,6 +324,7 @@
 func (TargetChecked) fleetEvent()     {}
 func (Tick) fleetEvent()              {}
 func (Stop) fleetEvent()              {}
+func (EndStop) fleetEvent()           {}
 
 func (Send) fleetEffect()        {}
 func (Cancel) fleetEffect()      {}
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -144,7 +144,7 @@
 	switch {
 	case !a.arrival.Relayed:
 		return false
-	case c.stopping:
+	case c.stop.begun:
 		c.finishRequest(a, Finish{Code: result.Stopping, RetryAfter: minRetryAfter})
 	case c.pathTo(a.service).state == pathLost:
 		c.finishRequest(a, Finish{Code: result.NoTarget, RetryAfter: minRetryAfter})
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -179,6 +179,8 @@
 		c.refuseOrFail(a, result.DeadlineUnmet, min(maxRetryAfter, max(minRetryAfter, fromMS(p.firstEventMS))))
 	case p.primary == nil:
 		c.refuseOrFail(a, result.NoTarget, c.retryAfterNoTarget(a))
+	case !c.canSendBeforeStop(a, p):
+		c.refuseOrFail(a, result.Stopping, minRetryAfter)
 	case p.needsTickets:
 		c.takeLimitToken(p.primary)
 		c.reserveMemory(a, p)
@@ -234,8 +236,13 @@
 	return c.now+placementRetryDelay+fromMS(fastestMS) < a.firstEventDeadline()
 }
 
-// dispatchLater dispatches the request again after placementRetryDelay.
+// dispatchLater dispatches the request again after placementRetryDelay, unless a stop
+// leaves no time for that.
 func (c *Core) dispatchLater(a *activeRequest) {
+	if !c.canWaitBeforeStop(a) {
+		c.refuseOrFail(a, result.Stopping, minRetryAfter)
+		return
+	}
 	if !a.waited {
 		a.waited = true
 		c.log("wait", "request", a.arrival.ID, "prompt", a.arrival.PromptTokens)
--- /dev/null
+++ b/internal/fleet/stop.go
@@ -0,0 +1,114 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/medlardeck/medlardeck/internal/result"
+)
+
+// stopState is the state of a planned stop.
+type stopState struct {
+	begun bool
+	// A request that arrives after admitAllUntil is admitted only if it is expected to end
+	// by deadline.
+	admitAllUntil, deadline time.Duration
+	ended                   bool // no request is admitted any more
+}
+
+// stopLatencyFactor is the multiple of the route's target latency that a request
+// is assumed to take to its first event, or to a plain answer, during a stop.
+const stopLatencyFactor = 2
+
+// Stopping reports whether a planned stop has begun.
+func (c *Core) Stopping() bool { return c.stop.begun }
+
+// beginStop begins a planned stop; later calls have no effect.
+func (c *Core) beginStop(ev Stop) {
+	if c.stop.begun {
+		return
+	}
+	c.stop.begun = true
+	c.stop.admitAllUntil, c.stop.deadline = c.now+ev.BalancerDelay, c.now+ev.GracePeriod
+}
+
+// endStop ends all requests with the answers that are true of them: the process is about
+// to end, and would close their connections without any.
+func (c *Core) endStop() {
+	c.stop.begun, c.stop.ended = true, true
+	open := make([]*activeRequest, 0, len(c.requests))
+	for _, a := range c.requests {
+		open = append(open, a)
+	}
+	slices.SortFunc(open, func(a, b *activeRequest) int { return cmp.Compare(a.arrival.Request, b.arrival.Request) })
+	for _, a := range open {
+		if a.attempt != 0 {
+			c.emit(Cancel{Attempt: a.attempt})
+			a.attemptsRun++
+			c.removeAttemptLoads(a)
+		}
+		if a.attemptsRun > 0 && !a.hasFailureAnswer {
+			c.finishRequest(a, Finish{Code: result.StopAfterSend})
+			continue
+		}
+		c.refuseOrFail(a, result.Stopping, minRetryAfter)
+	}
+}
+
+// IdleFor reports whether no request is in flight and none arrived for minIdle.
+func (c *Core) IdleFor(minIdle time.Duration) bool {
+	return len(c.requests) == 0 && c.now-c.lastArrivalAt >= minIdle
+}
+
+// canFinishBeforeStop reports whether a request that arrives may be admitted: always while
+// no stop is in progress or the balancer may not have noticed it yet, afterwards only
+// if the request is expected to end before the process does.
+func (c *Core) canFinishBeforeStop(a *activeRequest) bool {
+	switch {
+	case c.stop.ended:
+		return false
+	case !c.stop.begun || c.now < c.stop.admitAllUntil:
+		return true
+	}
+	neededTime := stopLatencyFactor * a.arrival.Route.TargetLatency
+	if e := c.engineOf(a); e != nil {
+		neededTime += fromMS(e.prefillMS(a.arrival.PromptTokens, 1)) + longestAnswerTime(a, e)
+	}
+	return c.now+neededTime < c.stop.deadline
+}
+
+// longestAnswerTime is the time from the first event to the end of the longest answer that
+// the caller allows: one that is cut off by the stop is lost.
+func longestAnswerTime(a *activeRequest, e *Engine) time.Duration {
+	stepMS := e.StepMS + float64(e.Slots)*e.decodeMS(float64(e.MeanPromptTokens))
+	return fromMS(float64(a.arrival.MaxAnswerTokens) * stepMS)
+}
+
+// canSendBeforeStop reports whether a request that is sent now with the placement p is
+// expected to end before the process does. A stream that has begun goes on in any case.
+func (c *Core) canSendBeforeStop(a *activeRequest, p placement) bool {
+	if !c.stop.begun || a.anyEventDelivered {
+		return true
+	}
+	neededTime := stopLatencyFactor * a.arrival.Route.TargetLatency
+	if e := c.engineOf(a); e != nil {
+		neededTime = fromMS(p.firstEventMS) + longestAnswerTime(a, e)
+	}
+	return c.now+neededTime < c.stop.deadline
+}
+
+// canWaitBeforeStop reports whether a request may wait for a later placement: not in a
+// stopping instance that is expected to end before the answer. Elsewhere the wait has no
+// such end, and the sooner the caller knows, the more time it has there.
+func (c *Core) canWaitBeforeStop(a *activeRequest) bool {
+	if !c.stop.begun || a.anyEventDelivered {
+		return true
+	}
+	neededTime := a.arrival.Route.TargetLatency
+	if e := c.engineOf(a); e != nil {
+		parts := max(1, len(c.candidateTargets(a)))
+		neededTime += fromMS(e.prefillMS(a.arrival.PromptTokens, parts)) + longestAnswerTime(a, e)
+	}
+	return c.now+neededTime < c.stop.deadline
+}
--- a/internal/fleet/stop_test.go
+++ b/internal/fleet/stop_test.go
@@ -38,3 +38,82 @@
 		must.Greater(t, 0, h.finishes[id].RetryAfter)
 	}
 }
+
+// endStop begins a stop and ends it at once.
+func (h *harness) endStop() {
+	h.step(Stop{BalancerDelay: time.Second, GracePeriod: 7 * time.Second})
+	h.step(EndStop{})
+}
+
+// The end of the stop closes all connections. Each request has its answer by then, and the
+// answer says whether it may have run.
+func TestEndOfTheStopAnswersEveryRequest(t *testing.T) {
+	h := newHarness(t, 1)
+	streaming := h.submit(routeShort, 500)
+	h.step(Progress{Attempt: h.lastSend(streaming).Attempt, EventID: "1"})
+	waiting := h.fillMemory(130_000)
+	running, once := h.submit(routeIdempotent, 0), h.submit(routeNonIdempotent, 0)
+	h.endStop()
+	must.Eq(t, result.Stopping, h.finishes[waiting].Code)
+	for _, id := range []RequestID{running, once, streaming} {
+		must.Eq(t, result.StopAfterSend, h.finishes[id].Code)
+		must.SliceContains(t, h.cancels, h.lastSend(id).Attempt)
+	}
+	must.True(t, h.core.IdleFor(0))
+	late := h.submit(routeIdempotent, 0)
+	must.Eq(t, result.Stopping, h.finishes[late].Code)
+	must.Eq(t, 0, h.sendCount(late))
+}
+
+// A failure answer that a target gave before the last retry is the caller's answer.
+func TestEndOfTheStopForwardsTheAnswerOfAFailedAttempt(t *testing.T) {
+	h := newHarness(t, 1)
+	id := h.submit(routeLong, 130_000)
+	h.step(AttemptEnd{Attempt: h.lastSend(id).Attempt, Outcome: OutcomeFailed, Status: 500})
+	must.Eq(t, 2, h.sendCount(id))
+	h.endStop()
+	must.Eq(t, result.StopAfterSend, h.finishes[id].Code)
+
+	h = newHarness(t, 2)
+	h.fillMemory(130_000)
+	id = h.submit(routeIdempotent, 0)
+	h.step(AttemptEnd{Attempt: h.lastSend(id).Attempt, Outcome: OutcomeFailed, Status: 500})
+	h.step(AttemptEnd{Attempt: h.lastSend(id).Attempt, Outcome: OutcomeFailed, Status: 500})
+	must.Eq(t, result.TargetError, h.finishes[id].Code)
+}
+
+// Memory that is being reserved is released when the stop ends before its request is sent.
+func TestEndOfTheStopReleasesReservations(t *testing.T) {
+	h := newHarness(t, 4)
+	id := h.submit(routeLong, 400_000)
+	must.Eq(t, 0, h.sendCount(id))
+	must.Greater(t, 0, len(h.reserves))
+	h.endStop()
+	must.Eq(t, result.Stopping, h.finishes[id].Code)
+	must.Len(t, len(h.reserves), h.releases)
+	h.step(Reserved{Request: id, Target: h.reserves[0].Target.ID, Granted: true})
+	must.Eq(t, 0, h.sendCount(id))
+}
+
+// A request that can't end before the process does is refused when that is known, while
+// its caller has time to be served elsewhere, and no later.
+func TestStoppingInstanceRefusesWhatDoesNotFitTheRestOfItsTime(t *testing.T) {
+	h := newHarness(t, 8)
+	h.step(Stop{BalancerDelay: 1500 * time.Millisecond, GracePeriod: 2 * time.Second})
+	short, long := h.submit(routeShort, 500), h.submit(routeLong, 130_000)
+	must.Eq(t, 1, h.sendCount(short))
+	must.Eq(t, 0, h.sendCount(long))
+	must.Eq(t, result.Stopping, h.finishes[long].Code)
+}
+
+// A stream that has begun goes on at another target as long as the process lives.
+func TestStoppingInstanceResumesStreams(t *testing.T) {
+	h := newHarness(t, 8)
+	id := h.submit(routeLong, 130_000)
+	first := h.lastSend(id)
+	h.step(Progress{Attempt: first.Attempt, EventID: "3"})
+	h.step(Stop{BalancerDelay: time.Second, GracePeriod: 2 * time.Second})
+	h.step(AttemptEnd{Attempt: first.Attempt, Outcome: OutcomeBroken})
+	must.Eq(t, 2, h.sendCount(id))
+	must.Eq(t, "3", h.lastSend(id).ResumeAfter)
+}
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -33,9 +33,10 @@
 	// reports that it is not ready: the platform probes once a second and
 	// requires two results.
 	balancerLag = 2500 * time.Millisecond
-	// stopMargin is how long before the process is killed open requests are
-	// interrupted.
-	stopMargin = 500 * time.Millisecond
+	// stopMargin is how long before the process is killed open requests are ended. Their
+	// answers are written within finalAnswerTime.
+	stopMargin      = 500 * time.Millisecond
+	finalAnswerTime = 300 * time.Millisecond
 	// idlePeriod is how long no request may have arrived before the listener
 	// closes. If all instances of a domain stop, callers keep arriving.
 	idlePeriod       = 300 * time.Millisecond
@@ -346,6 +347,10 @@
 	for time.Since(begin) < grace && (i.callers.isBusy() || !i.node.IdleFor(0)) {
 		time.Sleep(idlePollInterval)
 	}
+	i.node.Step(fleet.EndStop{})
+	for time.Since(begin) < grace+finalAnswerTime && i.callers.isBusy() {
+		time.Sleep(idlePollInterval)
+	}
 	i.logConnections("stopped", "instance", i.opts.Settings.Name, "cut_short", i.callers.isBusy())
 	i.Close()
 }
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -57,6 +57,7 @@
 	DeadlineAfterSend Code = 4001
 	NotRepeated       Code = 4002
 	StillRunning      Code = 4003
+	StopAfterSend     Code = 4004
 )
 
 // Results of operators' commands.
@@ -115,6 +116,7 @@
 	DeadlineAfterSend: {"deadline-after-send", http.StatusInternalServerError, "The time limit passed after the request was sent and before its answer came."},
 	NotRepeated:       {"not-repeated", http.StatusConflict, "An earlier run of this identity has an unknown outcome; it is not repeated."},
 	StillRunning:      {"still-running", http.StatusConflict, "An earlier arrival of this identity still runs elsewhere; it is not repeated."},
+	StopAfterSend:     {"stop-after-send", http.StatusInternalServerError, "The entry instance ended its planned stop after the request was sent and before its answer came."},
 
 	Accepted:          {"accepted", http.StatusOK, "The plan is in force at its revision."},
 	NotAcceptedRaced:  {"not-accepted-raced", http.StatusConflict, "Another change was accepted first; the plan was not applied."},
