fleetnode: a request read together with the one before is not cut with the idle connections

Cause: a connection counted as idle from the end of a response until a read got bytes. A request that was read together with the one before needs no further read, so its connection still counted as idle while it was served.

Evidence: TestRequestReadWithTheOneBeforeIsNotCutByTheCloseOfIdleConnections failed before and passes now.

Change: the server removes the read deadline when it has read a whole head; that now ends idleness. It depends on both time-outs of http.Server, so the server is made in one place. The tests use that as well: without time-outs a connection would never count as idle.

--- a/internal/fleetnode/callers.go
+++ b/internal/fleetnode/callers.go
@@ -45,6 +45,15 @@
 	return c, nil
 }
 
+// newServer returns a server for the listener's connections. SetReadDeadline relies on its
+// time-outs.
+func (l *callerListener) newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: l.recordState,
+	}
+}
+
 // recordState is the server's http.Server.ConnState.
 func (l *callerListener) recordState(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*callerConn)
@@ -154,10 +163,15 @@
 }
 
 // SetReadDeadline implements net.Conn. It does not replace the deadline of a connection
-// that is being closed.
+// that is being closed. http.Server, which has time-outs for idle connections and for
+// heads, removes the deadline only when it has read a whole head. That request may have
+// been read together with the one before, so that no read has shown it.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if t.IsZero() {
+		c.idle, c.closing = false, false
+	}
 	if c.closing {
 		return nil
 	}
--- a/internal/fleetnode/callers_test.go
+++ b/internal/fleetnode/callers_test.go
@@ -25,14 +25,14 @@
 	listener, err := listenCallers("127.0.0.1:0")
 	must.NoError(t, err)
 	s := &callerServer{callerListener: listener}
-	s.server = &http.Server{ConnState: s.recordState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s.server = s.newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/last" {
 			s.runs.Add(1)
 			w.Header().Set("Connection", "close")
 			time.Sleep(time.Millisecond)
 		}
 		_, _ = fmt.Fprint(w, "ok")
-	})}
+	}))
 	go func() { _ = s.server.Serve(s) }()
 	t.Cleanup(func() { _ = s.server.Close() })
 	return s
@@ -116,21 +116,18 @@
 	listener, err := listenCallers("127.0.0.1:0")
 	must.NoError(t, err)
 	begun, cut := make(chan struct{}), make(chan bool, 1)
-	server := &http.Server{
-		ConnState: listener.recordState, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if r.URL.Path == "/second" {
-				close(begun)
-				select {
-				case <-r.Context().Done():
-					cut <- true
-				case <-time.After(200 * time.Millisecond):
-					cut <- false
-				}
+	server := listener.newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/second" {
+			close(begun)
+			select {
+			case <-r.Context().Done():
+				cut <- true
+			case <-time.After(200 * time.Millisecond):
+				cut <- false
 			}
-			_, _ = fmt.Fprint(w, "ok")
-		}),
-	}
+		}
+		_, _ = fmt.Fprint(w, "ok")
+	}))
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	conn, err := net.Dial("tcp4", listener.Addr().String())
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -29,6 +29,8 @@
 	// release leftover connections.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 120 * time.Second
+	// maxHeaderBytes bounds the head of a request.
+	maxHeaderBytes = 64 << 10
 	// balancerLag is how long new connections still arrive after the instance
 	// reports that it is not ready: the platform probes once a second and
 	// requires two results.
@@ -258,10 +260,6 @@
 // configured, for metrics.
 func (i *Instance) startServers(metrics *telemetry.Metrics) error {
 	s := &i.opts.Settings
-	i.callerServer = &http.Server{
-		Handler: i.node, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: 64 << 10,
-	}
 	if err := i.serveCallers(s.CallersAddress); err != nil {
 		return err
 	}
@@ -295,7 +293,7 @@
 	if i.callers, err = listenCallers(address); err != nil {
 		return err
 	}
-	i.callerServer.ConnState = i.callers.recordState
+	i.callerServer = i.callers.newServer(i.node)
 	go i.serveListener(i.callerServer, i.callers)
 	return nil
 }
--- a/internal/fleetnode/relay.go
+++ b/internal/fleetnode/relay.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for requests of peers at %s: %w", address, err)
 	}
-	server := &http.Server{Handler: i.node.RelayHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 64 << 10}
+	server := &http.Server{Handler: i.node.RelayHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	i.auxiliaryServers = append(i.auxiliaryServers, server)
 	go i.serveListener(server, &peerListener{listener, i.gossip})
 	return nil
