--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -29,13 +29,16 @@
 	// release leftover connections.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 120 * time.Second
+	// maxHeaderBytes bounds the head of a request.
+	maxHeaderBytes = 64 << 10
 	// balancerLag is how long new connections still arrive after the instance
 	// reports that it is not ready: the platform probes once a second and
 	// requires two results.
 	balancerLag = 2500 * time.Millisecond
-	// stopMargin is how long before the process is killed open requests are
-	// interrupted.
-	stopMargin = 500 * time.Millisecond
+	// stopMargin is how long before the process is killed open requests are ended. Their
+	// answers are written within finalAnswerTime.
+	stopMargin      = 500 * time.Millisecond
+	finalAnswerTime = 300 * time.Millisecond
 	// idlePeriod is how long no request may have arrived before the listener
 	// closes. If all instances of a domain stop, callers keep arriving.
 	idlePeriod       = 300 * time.Millisecond
@@ -257,10 +260,6 @@
 // configured, for metrics.
 func (i *Instance) startServers(metrics *telemetry.Metrics) error {
 	s := &i.opts.Settings
-	i.callerServer = &http.Server{
-		Handler: i.node, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: 64 << 10,
-	}
 	if err := i.serveCallers(s.CallersAddress); err != nil {
 		return err
 	}
@@ -294,7 +293,7 @@
 	if i.callers, err = listenCallers(address); err != nil {
 		return err
 	}
-	i.callerServer.ConnState = i.callers.recordState
+	i.callerServer = i.callers.newServer(i.node)
 	go i.serveListener(i.callerServer, i.callers)
 	return nil
 }
@@ -346,6 +345,10 @@
 	for time.Since(begin) < grace && (i.callers.isBusy() || !i.node.IdleFor(0)) {
 		time.Sleep(idlePollInterval)
 	}
+	i.node.Step(fleet.EndStop{})
+	for time.Since(begin) < grace+finalAnswerTime && i.callers.isBusy() {
+		time.Sleep(idlePollInterval)
+	}
 	i.logConnections("stopped", "instance", i.opts.Settings.Name, "cut_short", i.callers.isBusy())
 	i.Close()
 }
