cli: signals are received before an instance accepts callers

An instance began to receive signals only after it had started its servers. A SIGTERM or SIGHUP in between ended the process at once: callers that were already connected lost their requests, and a reload of the settings became an unplanned exit.

The test sends a signal as soon as the callers' port accepts a connection: before the change 14 of 20 processes ended at once ("signal: hangup", "signal: terminated"), after it none of 20. Signals are now received before the start and handled after it.

--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -35,6 +35,10 @@
 	if *check {
 		return exitOK
 	}
+	// Before the start: signals that are not received end the process, and its callers' requests.
+	signals := make(chan os.Signal, signalsBuffered)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
+	defer signal.Stop(signals)
 	lines := telemetry.NewBoundedWriter(stdout)
 	defer lines.Close()
 	log := telemetry.NewLog(lines)
@@ -51,16 +55,13 @@
 		_, _ = fmt.Fprintln(stderr, err)
 		return exitError
 	}
-	serveSignals(instance, *path, log)
+	serveSignals(signals, instance, *path, log)
 	return exitOK
 }
 
 // serveSignals reloads the settings on SIGHUP and stops on SIGTERM or an
 // interrupt.
-func serveSignals(instance *fleetnode.Instance, path string, log logr.Logger) {
-	signals := make(chan os.Signal, signalsBuffered)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
-	defer signal.Stop(signals)
+func serveSignals(signals <-chan os.Signal, instance *fleetnode.Instance, path string, log logr.Logger) {
 	for s := range signals {
 		if s != syscall.SIGHUP {
 			instance.Stop()
