fleetnode: the end of a planned stop answers or leaves unread what still arrives

Cause: "no connection is in use" and "close all connections" were two steps. A connection that had just been accepted was not counted yet, one that was opened long before and never used did not count as in use; a request that was read on it between the steps was sent to a target and cut. The class of fault: a check in one goroutine that another makes untrue before it is acted on. An instance without requests reaches that point at the end of the balancer's lag, the time of the report.

Change: connections are closed by their pending reads only, also those that were never used, and these as soon as the balancer's lag is over. A read that finds bytes that arrived before serves them. The listener's last accepted connections are waited for, then the core refuses what comes (EndStop), and the process ends when all connections have ended by themselves, at the latest at the end of the grace time. The listener of relays is stopped in the same way: it was closed at once, counted neither busy nor idle.

--- a/internal/fleetnode/callers.go
+++ b/internal/fleetnode/callers.go
@@ -1,48 +1,62 @@
 package fleetnode
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
+	"os"
 	"sync"
 	"time"
-)
 
-// newConnGrace is how long after its acceptance a connection may still bring its first
-// request during a stop.
-const newConnGrace = time.Second
+	"github.com/go-logr/logr"
+	"golang.org/x/sys/unix"
+)
 
-// callerListener accepts callers' connections and ends them during a stop without losing
-// a request that is just arriving. http.Server cannot: it counts a connection as idle
-// until it has read the whole head of the next request, and would close it while that
-// request is passed on.
+// callerListener accepts connections of callers, or of peers that relay their requests, and
+// ends them during a stop without losing a request that is just arriving. http.Server
+// cannot: it counts a connection as idle until it has read the whole head of the next
+// request, and would close it while that request is passed on.
 type callerListener struct {
 	*net.TCPListener
+	log logr.Logger
+	// allowed says from which addresses connections are accepted; nil for all.
+	allowed  func(netip.Addr) bool
 	mu       sync.Mutex
 	conns    map[*callerConn]bool
 	draining bool // connections are closed when they become idle
 }
 
 // listenCallers listens at an address, given as host:port.
-func listenCallers(address string) (*callerListener, error) {
+func listenCallers(address string, allowed func(netip.Addr) bool, log logr.Logger) (*callerListener, error) {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen at %s: %w", address, err)
 	}
-	return &callerListener{TCPListener: listener.(*net.TCPListener), conns: make(map[*callerConn]bool)}, nil
+	return &callerListener{
+		TCPListener: listener.(*net.TCPListener), log: log, allowed: allowed, conns: make(map[*callerConn]bool),
+	}, nil
 }
 
 // Accept implements net.Listener.
 func (l *callerListener) Accept() (net.Conn, error) {
-	conn, err := l.AcceptTCP()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.AcceptTCP()
+		if err != nil {
+			return nil, err
+		}
+		if l.allowed != nil && !l.allowed(conn.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()) {
+			l.log.Info("relay-connection-refused", "from", conn.RemoteAddr().String())
+			_ = conn.Close()
+			continue
+		}
+		c := &callerConn{TCPConn: conn, listener: l, acceptedAt: time.Now()}
+		l.mu.Lock()
+		l.conns[c] = true
+		l.mu.Unlock()
+		return c, nil
 	}
-	c := &callerConn{TCPConn: conn, listener: l, acceptedAt: time.Now()}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.conns[c] = true
-	return c, nil
 }
 
 // newServer returns a server for the listener's connections. SetReadDeadline relies on its
@@ -64,37 +78,34 @@
 	defer l.mu.Unlock()
 	c.setIdle()
 	if l.draining {
-		c.closeIfIdle()
+		_ = c.closeIfIdle()
 	}
 }
 
 // closeIdle closes the connections that wait for a next request, and from now on those
-// that would.
-func (l *callerListener) closeIdle() {
+// that would. Connections that have been open for unusedFor without bringing a request are
+// closed too.
+func (l *callerListener) closeIdle(unusedFor time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.draining = true
 	for c := range l.conns {
-		c.closeIfIdle()
-	}
-}
-
-// isBusy reports whether a connection is in use or may bring a first request.
-func (l *callerListener) isBusy() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for c := range l.conns {
-		if started, _ := c.state(); started || time.Since(c.acceptedAt) < newConnGrace {
-			return true
+		if !c.closeIfIdle() && time.Since(c.acceptedAt) >= unusedFor {
+			c.closeIfUnused()
 		}
 	}
-	return false
 }
 
 // connCounts are numbers of open connections by their state: idle ones have served a
 // request and wait for the next, unused ones have not brought a byte yet.
 type connCounts struct{ inUse, idle, unused int }
 
+func (n connCounts) plus(other connCounts) connCounts {
+	return connCounts{n.inUse + other.inUse, n.idle + other.idle, n.unused + other.unused}
+}
+
+func (n connCounts) total() int { return n.inUse + n.idle + n.unused }
+
 func (l *callerListener) counts() connCounts {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -135,20 +146,38 @@
 	c.idle = true
 }
 
-// closeIfIdle lets the pending read of an idle connection fail, on which the server
-// closes it. If bytes of a request arrive first, the request is served.
-func (c *callerConn) closeIfIdle() {
+// closeIfIdle closes the connection if it is idle, and reports whether it is.
+func (c *callerConn) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idle {
-		c.closing = true
-		_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0)) // a broken connection ends without it
+		c.closeLocked()
+	}
+	return c.idle
+}
+
+// closeIfUnused closes a connection that has not brought a byte.
+func (c *callerConn) closeIfUnused() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.started {
+		c.closeLocked()
 	}
 }
 
+// closeLocked lets the pending read fail, on which the server closes the connection. If
+// bytes of a request arrive first, the request is served. c.mu must be held.
+func (c *callerConn) closeLocked() {
+	c.closing = true
+	_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0)) // a broken connection ends without it
+}
+
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.isClosing() {
+		n, err = c.readArrived(p, err)
+	}
 	if n == 0 {
 		return n, err
 	}
@@ -162,6 +191,30 @@
 	return n, err
 }
 
+func (c *callerConn) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
+}
+
+// readArrived reads bytes that arrived before the connection was closed: a read that begins
+// after its deadline returns none. It returns noneErr if there are none.
+func (c *callerConn) readArrived(p []byte, noneErr error) (int, error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	n := 0
+	var rerr error
+	if err := raw.Control(func(fd uintptr) { n, _, rerr = unix.Recvfrom(int(fd), p, unix.MSG_DONTWAIT) }); err != nil {
+		return 0, err
+	}
+	if rerr != nil || n <= 0 {
+		return 0, noneErr
+	}
+	return n, nil
+}
+
 // SetReadDeadline implements net.Conn. It does not replace the deadline of a connection
 // that is being closed. http.Server, which has time-outs for idle connections and for
 // heads, removes the deadline only when it has read a whole head. That request may have
--- a/internal/fleetnode/callers_test.go
+++ b/internal/fleetnode/callers_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/shoenig/test/must"
 )
 
@@ -22,7 +23,7 @@
 
 func startCallerServer(t *testing.T) *callerServer {
 	t.Helper()
-	listener, err := listenCallers("127.0.0.1:0")
+	listener, err := listenCallers("127.0.0.1:0", nil, logr.Discard())
 	must.NoError(t, err)
 	s := &callerServer{callerListener: listener}
 	s.server = s.newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -74,7 +75,7 @@
 		conn, br := s.dialIdle(t)
 		go func() {
 			time.Sleep(time.Duration(i%25) * 8 * time.Microsecond)
-			s.closeIdle()
+			s.closeIdle(newConnGrace)
 		}()
 		time.Sleep(time.Duration(i%11) * 15 * time.Microsecond)
 		head, rest := "GET /last HTTP/1.1\r\nHo", "st: h\r\n\r\n"
@@ -102,7 +103,7 @@
 	_, err := fmt.Fprint(busy, "GET /last HTTP/1.1\r\nHost: h\r\n")
 	must.NoError(t, err)
 	time.Sleep(50 * time.Millisecond)
-	s.closeIdle()
+	s.closeIdle(newConnGrace)
 	must.Eq(t, 0, readStatus(t, idle))
 	time.Sleep(50 * time.Millisecond)
 	_, err = fmt.Fprint(busy, "\r\n")
@@ -113,7 +114,7 @@
 // A caller that sends its next request without waiting for an answer must not lose it when
 // the idle connections are closed: the request may have been read with the one before.
 func TestRequestReadWithTheOneBeforeIsNotCutByTheCloseOfIdleConnections(t *testing.T) {
-	listener, err := listenCallers("127.0.0.1:0")
+	listener, err := listenCallers("127.0.0.1:0", nil, logr.Discard())
 	must.NoError(t, err)
 	begun, cut := make(chan struct{}), make(chan bool, 1)
 	server := listener.newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -136,9 +137,62 @@
 	_, err = fmt.Fprint(conn, "GET /first HTTP/1.1\r\nHost: h\r\n\r\nGET /second HTTP/1.1\r\nHost: h\r\n\r\n")
 	must.NoError(t, err)
 	<-begun
-	listener.closeIdle()
+	listener.closeIdle(newConnGrace)
 	must.False(t, <-cut)
 	br := bufio.NewReader(conn)
 	must.Eq(t, 200, readStatus(t, br))
 	must.Eq(t, 200, readStatus(t, br))
 }
+
+// A request that arrives while the one before is being answered must not be lost because
+// the connection is closed as soon as it is idle.
+func TestRequestThatArrivedBeforeItsConnectionBecameIdleIsServed(t *testing.T) {
+	listener, err := listenCallers("127.0.0.1:0", nil, logr.Discard())
+	must.NoError(t, err)
+	begun, answer := make(chan struct{}), make(chan struct{})
+	server := listener.newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/first" {
+			close(begun)
+			<-answer
+		}
+		_, _ = fmt.Fprint(w, "ok")
+	}))
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	conn, err := net.Dial("tcp4", listener.Addr().String())
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = fmt.Fprint(conn, "GET /first HTTP/1.1\r\nHost: h\r\n\r\n")
+	must.NoError(t, err)
+	<-begun
+	listener.closeIdle(newConnGrace)
+	_, err = fmt.Fprint(conn, "GET /second HTTP/1.1\r\nHost: h\r\n\r\n")
+	must.NoError(t, err)
+	time.Sleep(20 * time.Millisecond)
+	close(answer)
+	br := bufio.NewReader(conn)
+	must.Eq(t, 200, readStatus(t, br))
+	must.Eq(t, 200, readStatus(t, br))
+	must.Eq(t, 0, readStatus(t, br))
+}
+
+// Connections that were opened long before and never used must not be left to the end of a
+// stop, where their first requests would be lost.
+func TestUnusedConnectionsAreClosedUnlessTheyAreNew(t *testing.T) {
+	s := startCallerServer(t)
+	old, err := net.Dial("tcp4", s.Addr().String())
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = old.Close() })
+	time.Sleep(100 * time.Millisecond)
+	recent, err := net.Dial("tcp4", s.Addr().String())
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = recent.Close() })
+	time.Sleep(20 * time.Millisecond)
+	s.closeIdle(90 * time.Millisecond)
+	must.Eq(t, 0, readStatus(t, bufio.NewReader(old)))
+	_, err = fmt.Fprint(recent, "GET /last HTTP/1.1\r\nHost: h\r\n\r\n")
+	must.NoError(t, err)
+	must.Eq(t, 200, readStatus(t, bufio.NewReader(recent)))
+	time.Sleep(20 * time.Millisecond)
+	must.Eq(t, 0, s.counts().total())
+}
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -31,21 +31,6 @@
 	idleTimeout   = 120 * time.Second
 	// maxHeaderBytes bounds the head of a request.
 	maxHeaderBytes = 64 << 10
-	// balancerLag is how long new connections still arrive after the instance
-	// reports that it is not ready: the platform probes once a second and
-	// requires two results.
-	balancerLag = 2500 * time.Millisecond
-	// stopMargin is how long before the process is killed open requests are ended. Their
-	// answers are written within finalAnswerTime.
-	stopMargin      = 500 * time.Millisecond
-	finalAnswerTime = 300 * time.Millisecond
-	// idlePeriod is how long no request may have arrived before the listener
-	// closes. If all instances of a domain stop, callers keep arriving.
-	idlePeriod       = 300 * time.Millisecond
-	idlePollInterval = 50 * time.Millisecond
-	// listenerCloseMargin is how long before the end of a stop the listener
-	// closes at the latest, so that requests accepted before can end.
-	listenerCloseMargin = 1500 * time.Millisecond
 	// memoryLimitRatio is the share of the memory limit above which the garbage
 	// collector runs more often.
 	memoryLimitRatio = 0.7
@@ -92,8 +77,8 @@
 	mirror           *mirror
 	gossip           *gossip
 	exchange         *snapshotExchanger
-	callerServer     *http.Server
-	callers          *callerListener
+	callers          *requestServer
+	relays           *requestServer
 	auxiliaryServers []*http.Server
 	following        atomic.Bool   // this instance follows the store
 	announcedEra     atomic.Uint64 // of the store that has the address; zero before the first write
@@ -260,10 +245,12 @@
 // configured, for metrics.
 func (i *Instance) startServers(metrics *telemetry.Metrics) error {
 	s := &i.opts.Settings
-	if err := i.serveCallers(s.CallersAddress); err != nil {
+	var err error
+	if i.callers, err = i.serveRequests(s.CallersAddress, i.node, nil); err != nil {
 		return err
 	}
-	if err := i.serveRelays(s); err != nil {
+	relayAddress := net.JoinHostPort(s.IP, strconv.Itoa(s.RelayPort))
+	if i.relays, err = i.serveRequests(relayAddress, i.node.RelayHandler(), i.gossip.isInstance); err != nil {
 		return err
 	}
 	ready := mux.NewRouter()
@@ -287,17 +274,6 @@
 	return i.serve(server, i.opts.MetricsAddress)
 }
 
-// serveCallers listens for callers and serves them in the background.
-func (i *Instance) serveCallers(address string) error {
-	var err error
-	if i.callers, err = listenCallers(address); err != nil {
-		return err
-	}
-	i.callerServer = i.callers.newServer(i.node)
-	go i.serveListener(i.callerServer, i.callers)
-	return nil
-}
-
 // serve listens at an address and serves it in the background.
 func (i *Instance) serve(server *http.Server, address string) error {
 	listener, err := net.Listen("tcp4", address)
@@ -324,46 +300,11 @@
 	i.opts.Log.Info("settings-reloaded", "instance", s.Name, "seeds", len(s.Seeds))
 }
 
-// Stop ends the instance without interrupting requests, as far as the grace
-// period allows.
-func (i *Instance) Stop() {
-	i.opts.Log.Info("stopping", "instance", i.opts.Settings.Name)
-	grace := i.opts.Settings.StopGrace - stopMargin
-	begin := time.Now()
-	i.node.Step(fleet.Stop{BalancerDelay: balancerLag, GracePeriod: grace})
-	time.Sleep(balancerLag)
-	i.logConnections("idle-connections-closing")
-	// Responses close their connections since the stop began. Callers on those that
-	// are still idle send their next request to another instance.
-	i.callers.closeIdle()
-	for time.Since(begin) < grace-listenerCloseMargin && !i.node.IdleFor(idlePeriod) {
-		time.Sleep(idlePollInterval)
-	}
-	if err := i.callers.Close(); err != nil {
-		i.opts.Log.Info("listener-close-failed", "cause", err.Error())
-	}
-	for time.Since(begin) < grace && (i.callers.isBusy() || !i.node.IdleFor(0)) {
-		time.Sleep(idlePollInterval)
-	}
-	i.node.Step(fleet.EndStop{})
-	for time.Since(begin) < grace+finalAnswerTime && i.callers.isBusy() {
-		time.Sleep(idlePollInterval)
-	}
-	i.logConnections("stopped", "instance", i.opts.Settings.Name, "cut_short", i.callers.isBusy())
-	i.Close()
-}
-
-// logConnections writes a line with the open connections of callers by their state.
-func (i *Instance) logConnections(event string, pairs ...any) {
-	n := i.callers.counts()
-	i.opts.Log.Info(event, append(pairs, "in_use", n.inUse, "idle", n.idle, "unused", n.unused)...)
-}
-
 // Close stops the instance immediately and interrupts open requests.
 func (i *Instance) Close() {
 	i.cancel()
-	if i.callerServer != nil {
-		_ = i.callerServer.Close()
+	for _, s := range i.requestServers() {
+		_ = s.server.Close()
 	}
 	for _, h := range i.auxiliaryServers {
 		_ = h.Close()
--- /dev/null
+++ b/internal/fleetnode/stop.go
@@ -0,0 +1,136 @@
+package fleetnode
+
+import (
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/medlardeck/medlardeck/internal/fleet"
+)
+
+// Timing of a planned stop.
+const (
+	// balancerLag is how long new connections still arrive after the instance
+	// reports that it is not ready: the platform probes once a second and
+	// requires two results.
+	balancerLag = 2500 * time.Millisecond
+	// stopMargin is how long before the process is killed open requests are ended. Their
+	// answers are written within finalAnswerTime.
+	stopMargin      = 500 * time.Millisecond
+	finalAnswerTime = 300 * time.Millisecond
+	// idlePeriod is how long no request may have arrived before the listener
+	// closes. If all instances of a domain stop, callers keep arriving.
+	idlePeriod       = 300 * time.Millisecond
+	idlePollInterval = 50 * time.Millisecond
+	// listenerCloseMargin is how long before the end of a stop the listener
+	// closes at the latest, so that requests accepted before can end.
+	listenerCloseMargin = 1500 * time.Millisecond
+	// newConnGrace is how long after its acceptance a connection may still bring its first
+	// request during a stop.
+	newConnGrace = time.Second
+)
+
+// requestServer serves the requests of callers, or those that peers relay.
+type requestServer struct {
+	*callerListener
+	server *http.Server
+	done   chan struct{} // closed when no more connections are accepted
+}
+
+// serveRequests listens at an address and serves it in the background. Connections are
+// accepted from all addresses, or from the allowed ones.
+func (i *Instance) serveRequests(address string, handler http.Handler, allowed func(netip.Addr) bool) (*requestServer, error) {
+	listener, err := listenCallers(address, allowed, i.opts.Log)
+	if err != nil {
+		return nil, err
+	}
+	s := &requestServer{listener, listener.newServer(handler), make(chan struct{})}
+	go func() {
+		defer close(s.done)
+		i.serveListener(s.server, listener)
+	}()
+	return s, nil
+}
+
+// requestServers returns the servers that have been started.
+func (i *Instance) requestServers() []*requestServer {
+	var servers []*requestServer
+	for _, s := range []*requestServer{i.callers, i.relays} {
+		if s != nil {
+			servers = append(servers, s)
+		}
+	}
+	return servers
+}
+
+// Stop ends the instance without interrupting requests, as far as the grace period
+// allows. Every request that has been read gets an answer before its connection is closed.
+func (i *Instance) Stop() {
+	i.opts.Log.Info("stopping", "instance", i.opts.Settings.Name)
+	begin := time.Now()
+	grace := max(0, i.opts.Settings.StopGrace-stopMargin)
+	lag := min(balancerLag, grace/2)
+	i.node.Step(fleet.Stop{BalancerDelay: lag, GracePeriod: grace})
+	time.Sleep(lag)
+	i.logConnections("idle-connections-closing")
+	// Responses close their connections since the stop began. Callers on those that
+	// are still idle send their next request to another instance.
+	waitUntil(begin.Add(grace-listenerCloseMargin), func() bool {
+		i.closeIdle(newConnGrace)
+		return i.node.IdleFor(idlePeriod)
+	})
+	i.closeListeners()
+	waitUntil(begin.Add(grace), func() bool {
+		i.closeIdle(newConnGrace)
+		return i.connections().total() == 0 && i.node.IdleFor(0)
+	})
+	// A request may have been read since. From here on it is refused instead of sent.
+	i.node.Step(fleet.EndStop{})
+	waitUntil(begin.Add(grace+finalAnswerTime), func() bool {
+		i.closeIdle(0)
+		return i.connections().total() == 0
+	})
+	i.logConnections("stopped", "instance", i.opts.Settings.Name, "cut_short", i.connections().inUse > 0)
+	i.Close()
+}
+
+// waitUntil returns when done returns true or the time has come. It calls done at least
+// once.
+func waitUntil(end time.Time, done func() bool) {
+	for !done() && time.Now().Before(end) {
+		time.Sleep(idlePollInterval)
+	}
+}
+
+// closeIdle is callerListener.closeIdle for all request servers.
+func (i *Instance) closeIdle(unusedFor time.Duration) {
+	for _, s := range i.requestServers() {
+		s.closeIdle(unusedFor)
+	}
+}
+
+// closeListeners ends the acceptance of connections. When it returns, all accepted ones are
+// counted.
+func (i *Instance) closeListeners() {
+	for _, s := range i.requestServers() {
+		if err := s.Close(); err != nil {
+			i.opts.Log.Info("listener-close-failed", "cause", err.Error())
+		}
+		<-s.done
+	}
+}
+
+// connections counts the open connections of callers and relaying peers.
+func (i *Instance) connections() connCounts {
+	var n connCounts
+	for _, s := range i.requestServers() {
+		n = n.plus(s.counts())
+	}
+	return n
+}
+
+// logConnections writes a line with the open connections by their state.
+func (i *Instance) logConnections(event string, pairs ...any) {
+	n := i.connections()
+	i.opts.Log.Info(event, append(pairs, "in_use", n.inUse, "idle", n.idle, "unused", n.unused)...)
+}
