fleet: a stopping instance reckons with answers of the usual length in the balancer's lag

Change: a request that is sent in the lag, or waits, is compared with the usual length of an answer and the predicted step of its target. Arrivals after the lag are admitted as before.

--- a/internal/fleet/engine_model.go
+++ b/internal/fleet/engine_model.go
@@ -26,6 +26,11 @@
 	return e.PerSequenceMS + e.ContextMSPerK*contextTokens/1000
 }
 
+// fullStepMS returns the milliseconds of a step while all slots are in use.
+func (e *Engine) fullStepMS() float64 {
+	return e.StepMS + float64(e.Slots)*e.decodeMS(float64(e.MeanPromptTokens))
+}
+
 // requestKey identifies a request among all instances.
 type requestKey struct {
 	owner   string // see trackedLoad
--- a/internal/fleet/stop.go
+++ b/internal/fleet/stop.go
@@ -73,18 +73,13 @@
 	}
 	neededTime := stopLatencyFactor * a.arrival.Route.TargetLatency
 	if e := c.engineOf(a); e != nil {
-		neededTime += fromMS(e.prefillMS(a.arrival.PromptTokens, 1)) + longestAnswerTime(a, e)
+		// Assume the longest answer that the caller allows: an answer that is cut off
+		// by the stop is lost.
+		neededTime += fromMS(e.prefillMS(a.arrival.PromptTokens, 1) + float64(a.arrival.MaxAnswerTokens)*e.fullStepMS())
 	}
 	return c.now+neededTime < c.stop.deadline
 }
 
-// longestAnswerTime is the time from the first event to the end of the longest answer that
-// the caller allows: one that is cut off by the stop is lost.
-func longestAnswerTime(a *activeRequest, e *Engine) time.Duration {
-	stepMS := e.StepMS + float64(e.Slots)*e.decodeMS(float64(e.MeanPromptTokens))
-	return fromMS(float64(a.arrival.MaxAnswerTokens) * stepMS)
-}
-
 // canSendBeforeStop reports whether a request that is sent now with the placement p is
 // expected to end before the process does. A stream that has begun goes on in any case.
 func (c *Core) canSendBeforeStop(a *activeRequest, p placement) bool {
@@ -93,7 +88,8 @@
 	}
 	neededTime := stopLatencyFactor * a.arrival.Route.TargetLatency
 	if e := c.engineOf(a); e != nil {
-		neededTime = fromMS(p.firstEventMS) + longestAnswerTime(a, e)
+		stepMS := p.primary.predictState(e).stepMS + e.decodeMS(float64(a.arrival.PromptTokens/p.partCount()))
+		neededTime = fromMS(p.firstEventMS + a.expectedAnswerTokens(e)*stepMS)
 	}
 	return c.now+neededTime < c.stop.deadline
 }
@@ -108,7 +104,16 @@
 	neededTime := a.arrival.Route.TargetLatency
 	if e := c.engineOf(a); e != nil {
 		parts := max(1, len(c.candidateTargets(a)))
-		neededTime += fromMS(e.prefillMS(a.arrival.PromptTokens, parts)) + longestAnswerTime(a, e)
+		neededTime += fromMS(e.prefillMS(a.arrival.PromptTokens, parts) + a.expectedAnswerTokens(e)*e.fullStepMS())
 	}
 	return c.now+neededTime < c.stop.deadline
 }
+
+// expectedAnswerTokens is the usual length of an answer, or the longest that the caller
+// allows if that is less.
+func (a *activeRequest) expectedAnswerTokens(e *Engine) float64 {
+	if e.MeanAnswerTokens <= 0 {
+		return float64(a.arrival.MaxAnswerTokens)
+	}
+	return float64(min(a.arrival.MaxAnswerTokens, e.MeanAnswerTokens))
+}
