cli: fleet takes signals before it accepts requests

A SIGTERM between the start of the listeners and signal.Notify ended the process at once, under the requests that it had just accepted. The window is that of a function call and has no test.

--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -38,6 +38,10 @@
 	lines := telemetry.NewBoundedWriter(stdout)
 	defer lines.Close()
 	log := telemetry.NewLog(lines)
+	// From before the first request is accepted: a SIGTERM would lose it.
+	signals := make(chan os.Signal, signalsBuffered)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
+	defer signal.Stop(signals)
 	instance, err := fleetnode.Start(fleetnode.Options{
 		Settings: settings, Store: platform.NewStore(settings.StoreAddress),
 		Decoder: fleetnode.Decoder{
@@ -51,16 +55,13 @@
 		_, _ = fmt.Fprintln(stderr, err)
 		return exitError
 	}
-	serveSignals(instance, *path, log)
+	serveSignals(instance, signals, *path, log)
 	return exitOK
 }
 
 // serveSignals reloads the settings on SIGHUP and stops on SIGTERM or an
 // interrupt.
-func serveSignals(instance *fleetnode.Instance, path string, log logr.Logger) {
-	signals := make(chan os.Signal, signalsBuffered)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
-	defer signal.Stop(signals)
+func serveSignals(instance *fleetnode.Instance, signals <-chan os.Signal, path string, log logr.Logger) {
 	for s := range signals {
 		if s != syscall.SIGHUP {
 			instance.Stop()
