forward: callers that still send their bodies at the end of a stop are refused

What callers saw: a request whose body was still on its way when a planned stop ended was cut without an answer, since the decision core did not know of it yet.

A body had 15 s of its own, more than the stop.

Evidence: TestRequestReadInPartDuringAStopIsRefused failed with a closed connection, for a body that began before the stop and one that began during it; it passes now.

Change: the end of the stop bounds reading a body, and a body that it ends is answered by 2050 stopping: nothing has run.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -91,6 +91,8 @@
 	opts  Options
 	clock *clock
 	pool  *pool
+	// bodies are the bodies that are being read.
+	bodies bodyReads
 
 	mu               sync.Mutex
 	core             *fleet.Core
@@ -113,7 +115,7 @@
 	n := &Node{
 		opts: opts, clock: newClock(), pool: newPool(), core: fleet.New(opts.Fleet),
 		exchanges: make(map[fleet.RequestID]*exchange), attempts: make(map[fleet.AttemptID]*exchange),
-		configured: make(chan struct{}), ctx: ctx, cancel: cancel, timerDue: -1,
+		bodies: bodyReads{readers: make(map[*http.ResponseController]bool)}, configured: make(chan struct{}), ctx: ctx, cancel: cancel, timerDue: -1,
 	}
 	n.mu.Lock() // the timer fires at once, and its Step resets n.timer
 	defer n.mu.Unlock()
@@ -137,8 +139,11 @@
 
 // stepLocked is Step for callers that hold n.mu.
 func (n *Node) stepLocked(ev fleet.Event) {
-	if s, ok := ev.(fleet.StoreReachability); ok {
-		n.storeUnreachable = !s.Reachable
+	switch ev := ev.(type) {
+	case fleet.StoreReachability:
+		n.storeUnreachable = !ev.Reachable
+	case fleet.Stop:
+		n.bodies.stop(time.Now().Add(ev.GracePeriod))
 	}
 	for _, eff := range n.core.Step(n.clock.now(), ev) {
 		n.executeEffect(eff)
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -14,13 +12,9 @@
 	"github.com/medlardeck/medlardeck/internal/result"
 )
 
-// Limits of requests; the defaults apply where the configuration or the request
-// sets none.
+// Limits of requests; the default applies where the request sets none.
 const (
-	defaultMaxBodyBytes = 4 << 20
-	defaultTimeLeft     = 60 * time.Second
-	// bodyTimeout bounds reading a request body.
-	bodyTimeout = 15 * time.Second
+	defaultTimeLeft = 60 * time.Second
 	// firstConfigTimeout is how long a request waits for the first
 	// configuration, which takes one call to the store.
 	firstConfigTimeout = 300 * time.Millisecond
@@ -37,9 +31,9 @@
 	metadata := n.opts.HeaderCodec.ReadRequest(r.Header)
 	n.awaitConfig(r.Context())
 	config, stale := n.Config()
-	body, err := readBody(w, r, config)
+	body, err := n.readBody(w, r, config)
 	if err != nil {
-		n.rejectUnreadableBody(w, metadata, err)
+		n.rejectUnreadableBody(w, r, metadata, err)
 		return
 	}
 	if config == nil {
@@ -86,36 +80,6 @@
 	return d.Sum64()
 }
 
-// readBody reads the request body within the configured size limit and
-// bodyTimeout.
-func readBody(w http.ResponseWriter, r *http.Request, config *fleet.Config) ([]byte, error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	limit := int64(defaultMaxBodyBytes)
-	if config != nil && config.Limits.MaxBodyBytes > 0 {
-		limit = int64(config.Limits.MaxBodyBytes)
-	}
-	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
-	defer func() { _ = rc.SetReadDeadline(time.Time{}) }()
-	return io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-}
-
-// rejectUnreadableBody answers a request whose body is too large or could not
-// be read.
-func (n *Node) rejectUnreadableBody(w http.ResponseWriter, metadata RequestMetadata, err error) {
-	var tooLarge *http.MaxBytesError
-	status, code := http.StatusBadRequest, result.BadRequest
-	if errors.As(err, &tooLarge) {
-		status, code = http.StatusRequestEntityTooLarge, result.BodyTooLarge
-	}
-	n.opts.Log.Info("request-rejected", "request", metadata.ID, "code", int(code), "result", code.String(), "cause", err.Error())
-	n.opts.Metrics.Add("refusals", code.String())
-	w.Header().Set("Connection", "close")
-	n.writeError(w, metadata.ID, status, fleet.Finish{Code: code})
-}
-
 // denyRequest answers a request that the configuration does not allow. If the
 // configuration may be out of date, the request is refused instead, so that the
 // caller retries.
