entry: a planned stop ends when it begins while the writer's lease is acquired

What would be seen: an instance that gets SIGTERM while the last store call of an acquisition of its failure domain's lease is under way, and whose stop's first tick comes before the reply, never ends its stop by itself. It runs on until -stop-timeout, 16 minutes by default, and ends with exit code 1.

Cause: the tick that releases the lease finds none yet. The reply then brings one, which nobody renews or releases, since ticks end with the stop, and ordersDone waits for it.

Fix: while the instance stops, the reply to a lease call leads to the release of whatever it brought, as the tick does. With an order in flight the release waits as before.

--- a/internal/entry/cluster_test.go
+++ b/internal/entry/cluster_test.go
@@ -27,7 +27,8 @@
 	scheduled          []scheduledEvent
 	partitioned        func(from, to string) bool
 	store              *standin.Service
-	watchesMissChanges bool // watches wait out their budget and return no changes
+	storeLatency       time.Duration // of each call, a millisecond unless set
+	watchesMissChanges bool          // watches wait out their budget and return no changes
 	peerMessagesSent   int
 	lastOperation      uint64
 	effectsByEntry     map[string][]Effect
@@ -124,7 +125,7 @@
 // budget ends. A call without an answer ends as unknown after the store's default
 // deadline.
 func (c *cluster) executeStoreCall(name string, eff StoreCall, start time.Duration) {
-	call, delay, caller := eff.Call, time.Millisecond, c.entries[name]
+	call, delay, caller := eff.Call, max(time.Millisecond, c.storeLatency), c.entries[name]
 	if call.Op == store.OpWatch {
 		call.Budget = 1
 	}
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -129,6 +129,10 @@
 	}
 	e.callStore(call, func(r store.Reply) {
 		e.orders.holder.HandleReply(e.now, r)
+		if e.stopping { // the call may have completed an acquisition
+			e.releaseOrdersLease()
+			return
+		}
 		e.callLeaseStore()
 	})
 }
--- a/internal/entry/orders_test.go
+++ b/internal/entry/orders_test.go
@@ -226,3 +226,23 @@
 	sim.await(t, 30*time.Second, "another writer", func() bool { return sim.leaseHolder() != "" && sim.leaseHolder() != first })
 	must.Less(t, 20*time.Second, sim.now-start)
 }
+
+// Failure: a stop that begins while the last call of a lease's acquisition is under
+// way never ends, since the lease that it brings is renewed by nobody and not released.
+func TestPlannedStopEndsWhileTheLeaseIsBeingAcquired(t *testing.T) {
+	const storeLatency = 1200 * time.Millisecond // more than ordersInterval
+	for at := time.Duration(0); at < 20*time.Second; at += storeLatency / 4 {
+		sim := newOrderSim(t, true)
+		sim.storeLatency = storeLatency
+		sim.advance(at)
+		for _, name := range sim.names {
+			sim.entries[name].opts.StopLag = 5 * time.Second
+			sim.stepEntry(name, Stop{})
+		}
+		for _, name := range sim.names {
+			sim.await(t, 30*time.Second, fmt.Sprintf("the end of the stop of %s begun at %v", name, at), func() bool {
+				return len(effectsOf[Stopped](sim.effectsByEntry[name])) == 1
+			})
+		}
+	}
+}
