entry: open requests end with an answer before the time of a stop is over

What callers saw: when -stop-timeout ended before all requests had, the process closed their connections without an answer, whatever state they were in: waiting for room, for a claim or for the end of another run, sent, or in mid stream. A request that had never been sent looked like one that may have run.

Cause: nothing told the decisions that a stop has an end. Requests were bounded by their own time limits only.

Change: Stop names the timeout, ExpireStop ends it early, and the decision is made here. Two seconds before the end (half of a shorter timeout) every open request ends, so that answers and the outcomes of claims are written in the time that is left: - never sent: refused as stopping, with a Retry-After; its claim is released; - sent, no answer begun: the new code stopped-after-send, unknown; - an answer begun: the new code stopped-running, failed. Held requests leave the list before the runs that they wait for end, since that end would send them. The refusal of new work has a Retry-After now as well: another instance serves it at once.

The property test of bookings has a further action, a replacement with a timeout under any faults. The instance does not name a timeout yet.

--- a/internal/entry/arrive.go
+++ b/internal/entry/arrive.go
@@ -67,6 +67,10 @@
 func (e *Entry) handleRequestArrived(ev RequestArrived) {
 	a := &activeRequest{arrival: ev, arrivedAt: e.now, lifecycle: request.New(e.now)}
 	e.requests[ev.Request] = a
+	if e.refusesWork() {
+		e.refuseStopping(a)
+		return
+	}
 	if code, ok := e.resolve(a); !ok {
 		e.refuse(a, code, 0)
 		return
@@ -83,9 +87,6 @@
 // resolve looks up the workspace and the model or route of a request in the
 // configuration. It returns the code to refuse the request with, or true.
 func (e *Entry) resolve(a *activeRequest) (result.Code, bool) {
-	if e.refusesWork() {
-		return result.Stopping, false
-	}
 	if e.accepted.Revision == 0 {
 		return result.NoConfiguration, false
 	}
--- a/internal/entry/booking_property_test.go
+++ b/internal/entry/booking_property_test.go
@@ -45,6 +45,9 @@
 		"resume":  func(t *rapid.T) { sim.resumeEntry(m.drawNode(t)) },
 		"crash":   func(t *rapid.T) { sim.startEntry(m.drawNode(t), m.withPeers) },
 		"replace": func(t *rapid.T) { m.replaceNode(m.drawNode(t)) },
+		"replace-in-haste": func(t *rapid.T) {
+			m.replaceInHaste(m.drawNode(t), time.Duration(rapid.IntRange(1, 8000).Draw(t, "timeout"))*time.Millisecond)
+		},
 	}
 }
 
@@ -60,6 +63,20 @@
 	m.sim.startEntry(node, m.withPeers)
 }
 
+// replaceInHaste stops an instance with a timeout, whatever faults there are, and starts
+// its replacement. Every arrival must have ended by then.
+func (m *bookingMachine) replaceInHaste(node int, timeout time.Duration) {
+	m.sim.resumeEntry(node)
+	m.sim.stepEntry(node, Stop{Timeout: timeout})
+	m.sim.advance(timeout)
+	for id := range m.sim.identities {
+		if id.node == node && id.incarnation == m.sim.nodes[node].incarnation {
+			must.NotEq(m.sim.t, result.Code(0), m.sim.resultOf(id), must.Sprintf("%v", id))
+		}
+	}
+	m.sim.startEntry(node, m.withPeers)
+}
+
 // healAndCheck ends all faults. It checks that every arrival at a running
 // incarnation has ended, that new bookings run and that resends get an answer.
 func (m *bookingMachine) healAndCheck(t *rapid.T) {
--- a/internal/entry/effect.go
+++ b/internal/entry/effect.go
@@ -111,6 +111,10 @@
 // lease is released.
 type Stopped struct{}
 
+// StopExpired says that the time of a planned stop is over: every open request has
+// ended, and no other is taken.
+type StopExpired struct{}
+
 func (Send) effectKind() string                 { return "send" }
 func (Cancel) effectKind() string               { return "cancel" }
 func (Join) effectKind() string                 { return "join" }
@@ -123,3 +127,4 @@
 func (Observe) effectKind() string              { return "observe" }
 func (Log) effectKind() string                  { return "log" }
 func (Stopped) effectKind() string              { return "stopped" }
+func (StopExpired) effectKind() string          { return "stop-expired" }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -108,8 +108,10 @@
 
 	drained      bool // by operators
 	drainedAt    time.Duration
-	stopping     bool // not ready
-	refusingWork bool // since a planned stop, after its lag
+	stopping     bool          // not ready
+	refusingWork bool          // since a planned stop, after its lag
+	stopEnd      time.Duration // when open requests end because of a planned stop; zero for no such time
+	stopExpired  bool
 	stopped      bool
 }
 
@@ -180,7 +182,9 @@
 	case AdoptConfiguration:
 		e.handleAdoptConfiguration(ev.Accepted)
 	case Stop:
-		e.handleStop()
+		e.handleStop(ev.Timeout)
+	case ExpireStop:
+		e.expireStop()
 	case Tick:
 	}
 	e.applyClaimVerdicts()
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -144,7 +144,14 @@
 type Tick struct{}
 
 // Stop begins a planned stop.
-type Stop struct{}
+type Stop struct {
+	// Timeout is the time after which the process ends; zero means that the stop
+	// takes as long as it needs.
+	Timeout time.Duration `json:"timeout,omitempty"`
+}
+
+// ExpireStop ends what a planned stop still waits for.
+type ExpireStop struct{}
 
 func (RequestArrived) eventKind() string     { return "arrive" }
 func (Delivered) eventKind() string          { return "delivered" }
@@ -158,3 +165,4 @@
 func (AdoptConfiguration) eventKind() string { return "adopt" }
 func (Tick) eventKind() string               { return "tick" }
 func (Stop) eventKind() string               { return "stop" }
+func (ExpireStop) eventKind() string         { return "expire-stop" }
--- a/internal/entry/line.go
+++ b/internal/entry/line.go
@@ -33,6 +33,7 @@
 	OperatorCommand{},
 	Tick{},
 	Stop{},
+	ExpireStop{},
 }, Event.eventKind)
 
 // typesByKind maps the kind of each value to the type of the value.
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -104,30 +104,6 @@
 	fn(ev)
 }
 
-// handleStop starts a planned stop: the instance is not ready at once, refuses
-// new work after StopLag, and lets requests in flight end by themselves.
-func (e *Entry) handleStop() {
-	if e.stopping {
-		return
-	}
-	e.stopping = true
-	e.members.SetLeaving(true)
-	if e.opts.StopLag == 0 {
-		e.refusingWork = true
-		return
-	}
-	e.scheduleAfter(e.opts.StopLag, func() { e.refusingWork = true })
-}
-
-// finishStop emits Stopped once requests, orders and claims are finished.
-func (e *Entry) finishStop() {
-	if !e.refusingWork || e.stopped || len(e.requests) > 0 || !e.ordersDone() || !e.flushClaims() {
-		return
-	}
-	e.stopped = true
-	e.emit(Stopped{})
-}
-
 // ReportingTargets returns the number of targets that have reported.
 func (e *Entry) ReportingTargets() int {
 	count := 0
--- /dev/null
+++ b/internal/entry/stop_test.go
@@ -0,0 +1,153 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/medlardeck/medlardeck/internal/configuration"
+	"github.com/medlardeck/medlardeck/internal/result"
+)
+
+// stopTimeout is the timeout of the stops in these tests, far below the time limits of
+// the requests.
+const stopTimeout = 5 * time.Second
+
+// advanceTo runs each timer at its time until now, and returns the effects.
+func advanceTo(e *Entry, now time.Duration) []Effect {
+	var effs []Effect
+	for {
+		at, ok := e.NextTimer()
+		if !ok || at > now {
+			return append(effs, e.Step(now, Tick{})...)
+		}
+		effs = append(effs, e.Step(at, Tick{})...)
+	}
+}
+
+// finishCodes returns the result codes of the requests that ended.
+func finishCodes(effs []Effect) map[RequestID]result.Code {
+	codes := map[RequestID]result.Code{}
+	for _, f := range effectsOf[Finish](effs) {
+		codes[f.Request] = f.Code
+	}
+	return codes
+}
+
+// Failure: requests that are open when the time of a stop is over never end, so that
+// their connections are closed without an answer. Each must end before, with a code
+// that says whether it may have run.
+func TestRequestsEndBeforeTheTimeOfAStop(t *testing.T) {
+	e := newSingleEngineEntry(0, 0)
+	sent := effectsOf[Send](e.Step(0, completionWithPrompt(1, 2000)))[0]
+	streaming := effectsOf[Send](e.Step(0, completionWithPrompt(2, 3000)))[0]
+	e.Step(0, Delivered{Attempt: streaming.Attempt, Tokens: 3})
+	booking := effectsOf[Send](e.Step(0, RequestArrived{Request: 3, Workspace: "museum", Route: "bookings", Method: "POST"}))[0]
+	answering := effectsOf[Send](e.Step(0, RequestArrived{Request: 4, Workspace: "museum", Route: "bookings", Method: "POST"}))[0]
+	e.Step(0, Delivered{Attempt: answering.Attempt, Head: true})
+	e.Step(0, loadReport(2, 0, 399_950))
+	must.Len(t, 0, effectsOf[Send](e.Step(0, completionWithPrompt(5, 4000)))) // waits for memory
+
+	e.Step(0, Stop{Timeout: stopTimeout})
+	must.MapEmpty(t, finishCodes(advanceTo(e, stopTimeout/2)))
+	effs := advanceTo(e, stopTimeout-time.Millisecond)
+	must.Eq(t, map[RequestID]result.Code{
+		1: result.StoppedAfterSend, 2: result.StoppedRunning, 3: result.StoppedAfterSend, 4: result.StoppedRunning, 5: result.Stopping,
+	}, finishCodes(effs))
+	must.SliceContainsAll(t, effectsOf[Cancel](effs), []Cancel{{sent.Attempt}, {streaming.Attempt}, {booking.Attempt}, {answering.Attempt}})
+	for _, f := range effectsOf[Finish](effs) {
+		must.Eq(t, f.Code == result.Stopping, f.RetryAfter >= time.Second)
+	}
+	must.Len(t, 1, effectsOf[StopExpired](effs))
+	must.Len(t, 1, effectsOf[Stopped](effs))
+	must.Len(t, 0, effectsOf[Send](e.Step(stopTimeout, loadReport(3, 0, 0))))
+	must.Eq(t, map[RequestID]result.Code{6: result.Stopping}, finishCodes(e.Step(stopTimeout, completion(6))))
+}
+
+// Failure: a copy of a running request that is held back is sent when the end of the
+// stop ends the run, and then counts as one that may have run.
+func TestHeldCopyOfARunningRequestIsRefusedByAStop(t *testing.T) {
+	e := newTestEntry()
+	first := completion(1)
+	first.Fingerprint, first.Caller = 7, "a"
+	sent := effectsOf[Send](e.Step(0, first))[0]
+	copied := first
+	copied.Request, copied.Caller = 2, "b"
+	e.targets.Get(sent.Target).Isolated = true // the copy can't be sent there
+	must.Len(t, 0, effectsOf[Send](e.Step(0, copied)))
+	must.Len(t, 1, e.suspects.held)
+	effs := append(e.Step(time.Second, ExpireStop{}), e.Step(time.Second, Tick{})...)
+	must.Len(t, 0, effectsOf[Send](effs))
+	must.Eq(t, map[RequestID]result.Code{1: result.StoppedAfterSend, 2: result.Stopping}, finishCodes(effs))
+}
+
+// Failure: a resend that joined a run gets no answer when the stop ends the run.
+func TestResendThatJoinedARunEndsWithItAtTheEndOfAStop(t *testing.T) {
+	e := newTestEntry()
+	first := completion(1)
+	first.Fingerprint = 7
+	e.Step(0, first)
+	resend := first
+	resend.Request = 2
+	must.Len(t, 1, effectsOf[Join](e.Step(0, resend)))
+	must.Eq(t, map[RequestID]result.Code{1: result.StoppedAfterSend, 2: result.StoppedAfterSend}, finishCodes(e.Step(0, ExpireStop{})))
+}
+
+// Failure: a stop whose timeout is shorter than its lag cuts what it still takes.
+func TestTimeoutOfAStopMayBeShorterThanItsLag(t *testing.T) {
+	e := newTestEntry()
+	e.opts.StopLag = 2 * stopTimeout
+	e.Step(0, Stop{Timeout: stopTimeout})
+	must.Len(t, 1, effectsOf[Send](e.Step(time.Second, completion(1))))
+	effs := advanceTo(e, stopTimeout-time.Millisecond)
+	must.Eq(t, map[RequestID]result.Code{1: result.StoppedAfterSend}, finishCodes(effs))
+	must.Len(t, 1, effectsOf[Stopped](effs))
+	must.Eq(t, map[RequestID]result.Code{2: result.Stopping}, finishCodes(e.Step(stopTimeout, completion(2))))
+}
+
+// Failure: a second signal moves the end of the stop.
+func TestSecondStopChangesNothing(t *testing.T) {
+	e := newTestEntry()
+	e.Step(0, completion(1))
+	e.Step(0, Stop{Timeout: stopTimeout})
+	e.Step(time.Second, Stop{Timeout: time.Hour})
+	e.Step(time.Second, Stop{})
+	must.Eq(t, map[RequestID]result.Code{1: result.StoppedAfterSend}, finishCodes(advanceTo(e, stopTimeout)))
+	must.Len(t, 0, effectsOf[StopExpired](e.Step(stopTimeout, ExpireStop{})))
+}
+
+// Failure: a stop that needs less than its timeout ends requests that are still open.
+func TestStopWithinItsTimeoutEndsNoRequest(t *testing.T) {
+	e := newTestEntry()
+	sent := effectsOf[Send](e.Step(0, completion(1)))[0]
+	e.Step(0, Stop{Timeout: stopTimeout})
+	effs := e.Step(time.Second, AttemptEnd{Attempt: sent.Attempt, Outcome: OutcomeComplete})
+	must.Eq(t, map[RequestID]result.Code{1: result.Complete}, finishCodes(effs))
+	must.Len(t, 1, effectsOf[Stopped](effs))
+	must.Len(t, 0, effectsOf[StopExpired](advanceTo(e, stopTimeout)))
+}
+
+// Failure: a booking that runs at the end of a stop leaves its claim without an outcome,
+// or one that waits for its claim is refused and runs all the same.
+func TestBookingsKeepTheirPromiseAtTheEndOfAStop(t *testing.T) {
+	sim := newBookingSim(t, 2, 1, false)
+	sim.serviceTime = 2 * stopTimeout
+	running := sim.submitBooking(0, "cut-1")
+	sim.advance(100 * time.Millisecond)
+	sim.storeOutage = true
+	unclaimed := sim.submitBooking(0, "cut-2")
+	sim.stepEntry(0, Stop{Timeout: stopTimeout})
+	sim.stepEntry(0, ExpireStop{})
+	must.Eq(t, result.StoppedAfterSend, sim.resultOf(running))
+	must.Eq(t, result.Stopping, sim.resultOf(unclaimed))
+	sim.storeOutage = false
+	sim.advance(stopTimeout)
+	must.True(t, sim.nodes[0].entry.stopped)
+	resend, other := sim.submitBooking(1, "cut-1"), sim.submitBooking(1, "cut-2")
+	sim.awaitResult(resend, configuration.DefaultServiceLimit)
+	sim.awaitResult(other, configuration.DefaultServiceLimit+time.Second)
+	must.Eq(t, result.NotRepeated, sim.resultOf(resend))
+	must.Eq(t, 1, sim.runCounts["cut-1"])
+	must.Eq(t, 1, sim.runCounts["cut-2"])
+}
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -49,6 +49,7 @@
 	SlowCaller      Code = 3005 // the caller did not read its answer in time
 	AnswerTooLarge  Code = 3006 // the answer exceeds the limit for buffered answers
 	CrashSuspect    Code = 3007 // targets ended while they ran the request; it is not retried
+	StoppedRunning  Code = 3008 // the entry instance stopped during the answer
 )
 
 // Unknown outcomes: the request may have run.
@@ -57,6 +58,7 @@
 	DeadlineAfterSend Code = 4001
 	NotRepeated       Code = 4002
 	StillRunning      Code = 4003
+	StoppedAfterSend  Code = 4004
 )
 
 // Results of operators' commands.
@@ -110,11 +112,13 @@
 	SlowCaller:      {"slow-caller", http.StatusInternalServerError, "The caller did not read its answer in time."},
 	AnswerTooLarge:  {"answer-too-large", http.StatusInternalServerError, "The answer exceeds the limit for buffered answers."},
 	CrashSuspect:    {"crash-suspect", http.StatusInternalServerError, "Targets ended while they ran the request; it is not retried."},
+	StoppedRunning:  {"stopped-running", http.StatusInternalServerError, "The entry instance stopped while the answer was being delivered."},
 
 	BrokenAfterSend:   {"broken-after-send", http.StatusInternalServerError, "The connection to the target broke after the request was sent."},
 	DeadlineAfterSend: {"deadline-after-send", http.StatusInternalServerError, "The time limit passed after the request was sent and before its answer came."},
 	NotRepeated:       {"not-repeated", http.StatusConflict, "An earlier run of this identity has an unknown outcome; it is not repeated."},
 	StillRunning:      {"still-running", http.StatusConflict, "An earlier arrival of this identity still runs elsewhere; it is not repeated."},
+	StoppedAfterSend:  {"stopped-after-send", http.StatusInternalServerError, "The entry instance stopped after the request was sent and before its answer came."},
 
 	Accepted:          {"accepted", http.StatusOK, "The plan is in force at its revision."},
 	NotAcceptedRaced:  {"not-accepted-raced", http.StatusConflict, "Another change was accepted first; the plan was not applied."},
