instance: the end of a stop's time is answered before connections close

What callers saw: at -stop-timeout every connection was closed at once. The new test, on the code before, got EOF for a request that waited for an engine, one that ran, a booking that had been sent and a stream ("unexpected EOF" without an error event), after 2.0 s of a stop of 2 s.

Cause: Stop closed the instance as soon as its context ended. The decisions heard nothing of the end, and the caller's handlers had no time to write.

A request whose body is still on its way then is refused: its read fails at that moment, and the decisions refuse it. Before, it was closed, or answered as a bad request.

--- a/internal/httpapi/body.go
+++ b/internal/httpapi/body.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/medlardeck/medlardeck/internal/entry"
+	"github.com/medlardeck/medlardeck/internal/node"
 	"github.com/medlardeck/medlardeck/internal/result"
 )
 
@@ -62,13 +64,19 @@
 	}
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(a.opts.BodyTimeout))
+	ended := a.endReadWithStop(rc)
 	body, err := readAll(http.MaxBytesReader(w, r.Body, a.opts.MaxBodyBytes), r.ContentLength)
+	stopExpired := ended()
 	if err == nil {
 		_ = rc.SetReadDeadline(time.Time{})
 		a.buffered.Add(int64(len(body)) - held)
 		return body, func() { a.buffered.Add(-int64(len(body))) }, true
 	}
 	a.buffered.Add(-held)
+	if stopExpired {
+		a.refuseUnread(w)
+		return nil, nil, false
+	}
 	code := result.BadRequest
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -78,6 +86,31 @@
 	return nil, nil, false
 }
 
+// endReadWithStop makes reads fail once the time of a planned stop is over. The returned
+// function ends that and reports whether it has happened.
+func (a *API) endReadWithStop(rc *http.ResponseController) (ended func() bool) {
+	done := make(chan struct{})
+	cancel := a.node.OnStopExpired(func() {
+		defer close(done)
+		_ = rc.SetReadDeadline(time.Unix(1, 0)) // a broken connection fails without it
+	})
+	return func() bool {
+		if cancel() {
+			return false
+		}
+		<-done
+		return true
+	}
+}
+
+// refuseUnread answers a request whose body had not arrived when the time of a stop was
+// over. The decisions refuse every request by then, whatever it asks for.
+func (a *API) refuseUnread(w http.ResponseWriter) {
+	x := a.node.Submit(entry.RequestArrived{}, node.Upstream{})
+	<-x.Done()
+	writeError(w, x.End(), "")
+}
+
 // readAll reads into one buffer, of the announced size where there is one.
 func readAll(body io.Reader, announced int64) ([]byte, error) {
 	if announced >= 0 {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -161,40 +161,6 @@
 // ended without being stopped.
 func (i *Instance) Failed() <-chan error { return i.serveErrors }
 
-// Stop performs a planned stop: the instance reports that it is not ready, takes
-// new work only until the stop lag has passed, and lets the requests in flight
-// complete before it closes. If ctx ends first, the remaining requests are
-// aborted and the error of ctx is returned.
-func (i *Instance) Stop(ctx context.Context) error {
-	i.Node.Stop()
-	var err error
-	select {
-	case <-i.Node.Stopped():
-		i.waitStopLag(ctx)
-		err = i.callerServer.Shutdown(ctx)
-	case <-ctx.Done():
-		err = ctx.Err()
-	}
-	i.Close()
-	if err != nil {
-		return fmt.Errorf("stop: %w", err)
-	}
-	return nil
-}
-
-// waitStopLag keeps the servers open for the stop lag or until ctx ends.
-// Responses that began before the stop did not announce that their connection
-// will close, so callers may send another request on it. Such a request must get
-// a refusal instead of a closed connection.
-func (i *Instance) waitStopLag(ctx context.Context) {
-	timer := time.NewTimer(i.stopLag)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Close ends the instance at once and aborts the requests in flight, as a crash
 // would. Further calls do nothing.
 func (i *Instance) Close() { i.closeOnce.Do(i.closeComponents) }
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -48,35 +48,52 @@
 	return ln
 }
 
-// startTestInstance starts an instance with two engine targets and returns it
-// with the address of its caller listener.
-func startTestInstance(t *testing.T, stopLag time.Duration, callerTLS *tls.Config) (inst *Instance, address string) {
-	t.Helper()
-	store := platformstandin.New(platformstandin.Options{})
-	srv := httptest.NewServer(store.Handler())
-	t.Cleanup(srv.Close)
+// testIntent returns an intent with the model draft and a workspace whose key is "key".
+func testIntent() configuration.Intent {
 	keyHash := sha256.Sum256([]byte("key"))
-	intent := configuration.Intent{
+	return configuration.Intent{
 		Version:    configuration.SchemaVersion,
 		Models:     []configuration.Model{{Name: "draft", ContextTokens: 1 << 20}},
 		Workspaces: []configuration.Workspace{{Name: "museum", KeyHashes: []string{hex.EncodeToString(keyHash[:])}}},
 		Pools:      []configuration.Pool{{Name: "drafting", Kind: configuration.PoolEngine, Models: []string{"draft"}}},
 	}
-	for i := range 2 {
-		eng, err := engine.Start("127.0.0.1:0", engine.Options{Models: []string{"draft"}, Speed: 20})
-		must.NoError(t, err)
-		t.Cleanup(eng.Close)
-		intent.Pools[0].Targets = append(intent.Pools[0].Targets, configuration.Target{Name: fmt.Sprint("engine-", i), Address: eng.Addr()})
+}
+
+// addEngine starts an engine and adds it to the first pool of the intent.
+func addEngine(t *testing.T, intent *configuration.Intent, opts engine.Options) {
+	t.Helper()
+	opts.Models = []string{"draft"}
+	eng, err := engine.Start("127.0.0.1:0", opts)
+	must.NoError(t, err)
+	t.Cleanup(eng.Close)
+	pool := &intent.Pools[0]
+	pool.Targets = append(pool.Targets, configuration.Target{Name: fmt.Sprint("engine-", len(pool.Targets)), Address: eng.Addr()})
+}
+
+// startTestInstance starts an instance with two engine targets and returns it
+// with the address of its caller listener.
+func startTestInstance(t *testing.T, stopLag time.Duration, callerTLS *tls.Config) (inst *Instance, address string) {
+	t.Helper()
+	intent := testIntent()
+	for range 2 {
+		addEngine(t, &intent, engine.Options{Speed: 20})
 	}
-	callers := listen(t)
-	inst, err := Start(Options{
-		Entry:   entry.Options{Name: "entry-0", FailureDomain: "domain-a", Incarnation: 1, StopLag: stopLag},
-		Callers: callers, Operators: listen(t), Peers: listen(t), CallerTLS: callerTLS,
-		PlatformURL: srv.URL, DialTimeout: time.Second, Log: logr.Discard(),
-	})
+	return startInstanceWithIntent(t, intent, Options{Entry: entry.Options{StopLag: stopLag}, CallerTLS: callerTLS})
+}
+
+// startInstanceWithIntent starts an instance that has the intent in force.
+func startInstanceWithIntent(t *testing.T, intent configuration.Intent, opts Options) (inst *Instance, address string) {
+	t.Helper()
+	store := platformstandin.New(platformstandin.Options{})
+	srv := httptest.NewServer(store.Handler())
+	t.Cleanup(srv.Close)
+	opts.Entry.Name, opts.Entry.FailureDomain, opts.Entry.Incarnation = "entry-0", "domain-a", 1
+	opts.Callers, opts.Operators, opts.Peers = listen(t), listen(t), listen(t)
+	opts.PlatformURL, opts.DialTimeout, opts.Log = srv.URL, time.Second, logr.Discard()
+	inst, err := Start(opts)
 	must.NoError(t, err)
 	inst.Node.AdoptConfiguration(configuration.Accepted{Revision: 1, Intent: intent})
-	return inst, callers.Addr().String()
+	return inst, opts.Callers.Addr().String()
 }
 
 // streamCompletion sends one streaming completion request and returns the HTTP
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,6 +81,9 @@
 
 	rearm    chan struct{} // signalled when a timer is due before nextWake
 	stopDone chan struct{} // closed when a planned stop is done
+	// stopExpired is cancelled by expireStop when the time of a planned stop is over.
+	stopExpired context.Context
+	expireStop  context.CancelFunc
 	// configured is closed once the first configuration is in force.
 	configured     chan struct{}
 	configuredOnce sync.Once
@@ -104,6 +107,7 @@
 		opts.Entry.Wall = time.Duration(float64(start.Sub(recordEpoch)) * opts.Speed)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	stopExpired, expireStop := context.WithCancel(context.Background())
 	n := &Node{
 		opts: opts, startTime: start, entry: entry.New(opts.Entry),
 		exchanges: make(map[entry.RequestID]*Exchange),
@@ -111,7 +115,7 @@
 		rearm:     make(chan struct{}, 1), stopDone: make(chan struct{}), configured: make(chan struct{}),
 		pendingOperations: make(map[uint64]chan entry.CommandResult),
 		peerSendSlots:     make(chan struct{}, maxPeerSends),
-		ctx:               ctx, cancel: cancel,
+		ctx:               ctx, cancel: cancel, stopExpired: stopExpired, expireStop: expireStop,
 	}
 	n.wg.Go(n.runTimers)
 	return n
@@ -135,12 +139,27 @@
 	n.wg.Go(fn)
 }
 
-// Stop begins a planned stop; the channel of Stopped is closed when it is done.
-func (n *Node) Stop() { n.Step(entry.Stop{}) }
+// Stop begins a planned stop, after which the process ends within timeout, or when the
+// stop is done if timeout is zero. The channel of Stopped is closed when it is done.
+func (n *Node) Stop(timeout time.Duration) {
+	n.Step(entry.Stop{Timeout: time.Duration(float64(timeout) * n.opts.Speed)})
+}
+
+// ExpireStop ends every request that a planned stop still waits for.
+func (n *Node) ExpireStop() { n.Step(entry.ExpireStop{}) }
 
 // Stopped returns a channel that is closed when a planned stop is done.
 func (n *Node) Stopped() <-chan struct{} { return n.stopDone }
 
+// StopExpired reports whether a planned stop ran out of time.
+func (n *Node) StopExpired() bool { return n.stopExpired.Err() != nil }
+
+// OnStopExpired calls fn in a goroutine when the time of a planned stop is over. cancel
+// prevents the call; it returns false if it comes too late.
+func (n *Node) OnStopExpired(fn func()) (cancel func() bool) {
+	return context.AfterFunc(n.stopExpired, fn)
+}
+
 // Configured returns a channel that is closed once the first configuration is in
 // force.
 func (n *Node) Configured() <-chan struct{} { return n.configured }
@@ -246,6 +265,8 @@
 		n.logEvent(eff)
 	case entry.Stopped:
 		close(n.stopDone)
+	case entry.StopExpired:
+		n.expireStop()
 	}
 }
 
