entry, instance: a planned stop answers the operators' commands in progress

What operators would see: a plan, a confirmation or a list that is being carried out when the instance has nothing else to do ends with a closed connection. Whoever confirmed does not learn whether the plan is in force.

Cause: the stop looked at requests, orders and claims only, and then closed the operators' server under its commands. "Nothing is in flight" and "close everything" were two steps that did not speak of the same things.

Change: the decisions know the commands without an answer. A stop is done when there are none. When its time is over they are answered: a confirmation as unknown, since its write may take effect, all others as not carried out; what comes later is not begun, but the status can still be asked for. An answer that the store brings after that is dropped. The operators' server ends like the callers' one, each connection after its answer.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -87,6 +87,8 @@
 
 	healthWatched map[string]bool // targets with a pending health timer, by name
 
+	openCommands map[uint64]OperatorCommand // operators' commands without an answer, by id
+
 	pendingStoreCalls map[uint64]func(StoreReply)
 	lastCallID        uint64
 
@@ -138,6 +140,7 @@
 		suspects:          newSuspectState(opts.Name),
 		pendingGroupCalls: make(map[uint64]func(GroupStatus)),
 		pendingStoreCalls: make(map[uint64]func(StoreReply)),
+		openCommands:      make(map[uint64]OperatorCommand),
 	}
 	e.policy = e.newPolicy(configuration.Serving{})
 	e.orders = e.newOrders()
--- a/internal/entry/operate.go
+++ b/internal/entry/operate.go
@@ -72,7 +72,10 @@
 func (CommandResult) effectKind() string  { return "operated" }
 
 func (e *Entry) handleOperatorCommand(ev OperatorCommand) {
+	e.openCommands[ev.ID] = ev
 	switch {
+	case e.stopExpired && !ev.Status:
+		e.answerFailure(ev, errStopping)
 	case ev.Plan != nil:
 		e.planIntent(ev, func(configuration.Intent) (configuration.Intent, error) { return *ev.Plan, nil })
 	case ev.Edit != nil && ev.Edit.Reassert:
@@ -97,6 +100,8 @@
 	case ev.Status:
 		status := e.status()
 		e.answerOperator(ev, CommandResult{Status: &status})
+	default:
+		e.answerOperator(ev, CommandResult{Failure: CommandFailureInvalid, Text: "the command is empty"})
 	}
 }
 
@@ -105,8 +110,13 @@
 	return ok
 }
 
-// answerOperator counts the outcome of a command and emits its answer.
+// answerOperator counts the outcome of a command and emits its answer. It drops an answer
+// that comes after the end of a stop gave one.
 func (e *Entry) answerOperator(ev OperatorCommand, out CommandResult) {
+	if _, open := e.openCommands[ev.ID]; !open {
+		return
+	}
+	delete(e.openCommands, ev.ID)
 	out.ID = ev.ID
 	e.incrementCounter(CounterOperations, operationOutcome(out))
 	e.emit(out)
@@ -144,6 +154,7 @@
 var (
 	errStoreBehind = errors.New("the store holds an older configuration than the one in force")
 	errNoRevision  = errors.New("the revision is not in the history")
+	errStopping    = errors.New("the entry instance is stopping")
 )
 
 // syncFromStore fetches the accepted configuration and checks that it is the
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/medlardeck/medlardeck/internal/admission"
+	"github.com/medlardeck/medlardeck/internal/configuration"
 	"github.com/medlardeck/medlardeck/internal/request"
 	"github.com/medlardeck/medlardeck/internal/result"
 )
@@ -36,7 +37,7 @@
 	e.scheduleAfter(e.opts.StopLag, func() { e.refusingWork = true })
 }
 
-// expireStop ends every open request and refuses new ones. The list of held requests
+// expireStop ends every open request and command and refuses new ones. The list of held requests
 // is cleared first: the end of a run of their fingerprint would send them.
 func (e *Entry) expireStop() {
 	if e.stopped || e.stopExpired {
@@ -51,6 +52,7 @@
 			e.endAtStop(a)
 		}
 	}
+	e.endCommandsAtStop()
 	e.emit(Log{Event: "stop-expired", Pairs: []string{"requests", strconv.Itoa(open)}})
 	e.emit(StopExpired{})
 }
@@ -81,9 +83,22 @@
 	e.refuse(a, result.Stopping, admission.RetryAfter(retryHint, e.rng))
 }
 
-// finishStop emits Stopped once requests, orders and claims are finished.
+// endCommandsAtStop answers the operators' commands that are still open. A confirmation
+// may have been written.
+func (e *Entry) endCommandsAtStop() {
+	for _, id := range slices.Sorted(maps.Keys(e.openCommands)) {
+		ev := e.openCommands[id]
+		if ev.Confirm == "" {
+			e.answerFailure(ev, errStopping)
+			continue
+		}
+		e.answerOperator(ev, CommandResult{Confirmation: &Confirmation{Verdict: configuration.VerdictUnknown, PlanID: ev.Confirm}})
+	}
+}
+
+// finishStop emits Stopped once requests, commands, orders and claims are finished.
 func (e *Entry) finishStop() {
-	if !e.refusingWork || e.stopped || len(e.requests) > 0 || !e.ordersDone() || !e.flushClaims() {
+	if !e.refusingWork || e.stopped || len(e.requests) > 0 || len(e.openCommands) > 0 || !e.ordersDone() || !e.flushClaims() {
 		return
 	}
 	e.stopped = true
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -151,3 +151,48 @@
 	must.Eq(t, 1, sim.runCounts["cut-1"])
 	must.Eq(t, 1, sim.runCounts["cut-2"])
 }
+
+// answersTo returns the answers to a command.
+func answersTo(effs []Effect, id uint64) []CommandResult {
+	var answers []CommandResult
+	for _, r := range effectsOf[CommandResult](effs) {
+		if r.ID == id {
+			answers = append(answers, r)
+		}
+	}
+	return answers
+}
+
+// Failure: an instance that stops ends while it carries out an operator's confirmation,
+// whose verdict nobody learns.
+func TestStopWaitsForOperatorsCommands(t *testing.T) {
+	c := newSettledCluster(t, 4, "a")
+	plan := c.runOperation(t, "entry-000", limitEdit(100)).Plan
+	answer := c.startOperation("entry-000", OperatorCommand{Confirm: plan.ID})
+	c.stepEntry("entry-000", Stop{})
+	must.Nil(t, answer())
+	must.False(t, c.entries["entry-000"].stopped)
+	c.advance(10 * time.Second)
+	must.Eq(t, configuration.VerdictAccepted, answer().Confirmation.Verdict)
+	must.True(t, c.entries["entry-000"].stopped)
+}
+
+// Failure: operators get no answer to a command that the end of a stop cuts, or a
+// confirmation that may have been written is reported as not carried out.
+func TestOperatorsCommandsEndBeforeTheTimeOfAStop(t *testing.T) {
+	c := newSettledCluster(t, 4, "a")
+	plan := c.runOperation(t, "entry-000", limitEdit(100)).Plan
+	c.storeLatency = time.Minute
+	confirmed := c.startOperation("entry-000", OperatorCommand{Confirm: plan.ID})
+	planned := c.startOperation("entry-000", limitEdit(200))
+	c.stepEntry("entry-000", Stop{Timeout: stopTimeout})
+	c.advance(stopTimeout - time.Second)
+	must.Eq(t, configuration.VerdictUnknown, confirmed().Confirmation.Verdict)
+	must.Eq(t, CommandFailureUnavailable, planned().Failure)
+	late := c.startOperation("entry-000", OperatorCommand{Confirm: plan.ID})
+	must.Eq(t, CommandFailureUnavailable, late().Failure) // it was not begun
+	c.advance(5 * time.Minute)
+	for id := uint64(1); id <= c.lastOperation; id++ {
+		must.Len(t, 1, answersTo(c.effectsByEntry["entry-000"], id), must.Sprint(id))
+	}
+}
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -84,12 +84,17 @@
 // startInstanceWithIntent starts an instance that has the intent in force.
 func startInstanceWithIntent(t *testing.T, intent configuration.Intent, opts Options) (inst *Instance, address string) {
 	t.Helper()
-	store := platformstandin.New(platformstandin.Options{})
-	srv := httptest.NewServer(store.Handler())
-	t.Cleanup(srv.Close)
+	if opts.PlatformURL == "" {
+		srv := httptest.NewServer(platformstandin.New(platformstandin.Options{}).Handler())
+		t.Cleanup(srv.Close)
+		opts.PlatformURL = srv.URL
+	}
 	opts.Entry.Name, opts.Entry.FailureDomain, opts.Entry.Incarnation = "entry-0", "domain-a", 1
-	opts.Callers, opts.Operators, opts.Peers = listen(t), listen(t), listen(t)
-	opts.PlatformURL, opts.DialTimeout, opts.Log = srv.URL, time.Second, logr.Discard()
+	if opts.Operators == nil {
+		opts.Operators = listen(t)
+	}
+	opts.Callers, opts.Peers = listen(t), listen(t)
+	opts.DialTimeout, opts.Log = time.Second, logr.Discard()
 	inst, err := Start(opts)
 	must.NoError(t, err)
 	inst.Node.AdoptConfiguration(configuration.Accepted{Revision: 1, Intent: intent})
--- a/internal/instance/stop.go
+++ b/internal/instance/stop.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"time"
 )
@@ -27,12 +28,12 @@
 	case <-end.Done():
 		i.Node.ExpireStop()
 	}
-	err := i.callerServer.Shutdown(end)
+	err := i.shutDownServers(end)
 	if err != nil {
 		i.Node.ExpireStop()
 		last, cancelLast := context.WithTimeout(context.WithoutCancel(ctx), lastAnswersTime)
 		defer cancelLast()
-		err = i.callerServer.Shutdown(last) // Close cuts what is open after that
+		err = i.shutDownServers(last) // Close cuts what is open after that
 	}
 	i.Close()
 	if err != nil || i.Node.StopExpired() {
@@ -62,6 +63,15 @@
 	return context.WithDeadline(ctx, deadline.Add(-min(lastAnswersTime, timeLeft(ctx)/lastPart)))
 }
 
+// shutDownServers closes the listeners and then each connection of callers and operators
+// when its request has been answered.
+func (i *Instance) shutDownServers(ctx context.Context) error {
+	operators := make(chan error, 1)
+	go func() { operators <- i.operatorServer.Shutdown(ctx) }()
+	err := i.callerServer.Shutdown(ctx)
+	return errors.Join(err, <-operators)
+}
+
 // waitStopLag keeps the servers open for the stop lag or until ctx ends.
 // Responses that began before the stop did not announce that their connection
 // will close, so callers may send another request on it. Such a request must get
--- a/internal/instance/stop_test.go
+++ b/internal/instance/stop_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -17,8 +18,10 @@
 	"github.com/medlardeck/medlardeck/internal/configuration"
 	"github.com/medlardeck/medlardeck/internal/entry"
 	"github.com/medlardeck/medlardeck/internal/httpapi"
+	"github.com/medlardeck/medlardeck/internal/operatorapi"
 	"github.com/medlardeck/medlardeck/internal/result"
 	"github.com/medlardeck/medlardeck/internal/standin/engine"
+	platformstandin "github.com/medlardeck/medlardeck/internal/standin/platform"
 )
 
 // answered is what a caller got: the error is that of the connection.
@@ -33,7 +36,6 @@
 
 // readAnswer sends a request and reads its answer to the end.
 func readAnswer(name string, req *http.Request) answered {
-	req.Header.Set("Authorization", "Bearer key")
 	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
 	if err != nil {
 		return answered{name: name, err: err}
@@ -47,6 +49,7 @@
 	t.Helper()
 	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
 	must.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer key")
 	return req
 }
 
@@ -163,3 +166,28 @@
 	must.Eq(t, fmt.Sprint(int(result.Stopping)), resp.Header.Get(httpapi.HeaderCode))
 	must.Less(t, timeout, took)
 }
+
+// Failure: a stop closes the connection of an operator whose command is being carried
+// out, so that nobody learns its outcome.
+func TestStopAnswersOperatorsCommandsInProgress(t *testing.T) {
+	const storeLatency = 500 * time.Millisecond
+	platform := platformstandin.New(platformstandin.Options{}).Handler()
+	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(storeLatency)
+		platform.ServeHTTP(w, r)
+	}))
+	defer store.Close()
+	operators := listen(t)
+	opts := Options{Operators: operators, PlatformURL: store.URL, OperatorKeys: []operatorapi.Operator{{Name: "ana", TokenHash: operatorapi.HashToken("token")}}}
+	inst, _ := startInstanceWithIntent(t, testIntent(), opts)
+	answers := make(chan answered, 1)
+	req, err := http.NewRequest(http.MethodGet, "http://"+operators.Addr().String()+"/v1/history", nil)
+	must.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer token")
+	go func() { answers <- readAnswer("history", req) }()
+	time.Sleep(storeLatency / 2) // the command waits for the store
+	must.NoError(t, inst.Stop(t.Context()))
+	got := <-answers
+	must.NoError(t, got.err)
+	must.Eq(t, http.StatusOK, got.status, must.Sprint(got.body))
+}
