entry: refuse what is known not to end in the time of a stop

What callers would see: a completion that is predicted to outlast the stop is sent and cut, or waits in the queue until the end of the stop refuses it, though another instance could have served it all along.

Cause: predicted ends were compared with the deadline of the request only.

Change: the end of the stop bounds them too, for completions on arrival, at the head of a queue and before a group of engines is reserved. Such a request is refused as stopping. One that has run already goes on until the end.

Evidence: the three new tests failed before (sent, waiting until the end, reserved).

--- a/internal/entry/admit.go
+++ b/internal/entry/admit.go
@@ -82,8 +82,7 @@
 		return
 	}
 	wait, known := e.predictQueueWait(a, choice)
-	if late := e.now + wait + e.predictTimeToFinish(a, choice) - a.lifecycle.Deadline(); known && late > 0 {
-		e.refuse(a, result.DeadlineUnmet, admission.RetryAfter(late, e.rng))
+	if known && e.refuseIfLate(a, e.now+wait+e.predictTimeToFinish(a, choice)) {
 		return
 	}
 	if !choice.TargetFull && e.queues.Queue(a.class).Len() == 0 {
@@ -93,6 +92,20 @@
 	e.enqueue(a)
 }
 
+// refuseIfLate refuses a request, of which no attempt was sent, if it is predicted to end
+// after its deadline or after the end of a stop. It reports whether it did.
+func (e *Entry) refuseIfLate(a *activeRequest, end time.Duration) bool {
+	if late := end - a.lifecycle.Deadline(); late > 0 {
+		e.refuse(a, result.DeadlineUnmet, admission.RetryAfter(late, e.rng))
+		return true
+	}
+	if e.stopEnd > 0 && end > e.stopEnd {
+		e.refuseStopping(a)
+		return true
+	}
+	return false
+}
+
 // predictQueueWait predicts the time in the queue. known is false while the
 // target has no samples of the class: too little to base a refusal on.
 func (e *Entry) predictQueueWait(a *activeRequest, choice routing.Choice) (wait time.Duration, known bool) {
@@ -178,9 +191,7 @@
 		e.giveUp(a, result.NoTarget)
 		return true
 	}
-	late := e.now + e.predictTimeToFinish(a, choice) - a.lifecycle.Deadline()
-	if late > 0 && e.targets.HasLearntRate(choice.Target, class) {
-		e.refuse(a, result.DeadlineUnmet, admission.RetryAfter(late, e.rng))
+	if e.targets.HasLearntRate(choice.Target, class) && e.refuseIfLate(a, e.now+e.predictTimeToFinish(a, choice)) {
 		return true
 	}
 	if choice.TargetFull && e.isLimitedToTargetInUse(a) {
--- a/internal/entry/group.go
+++ b/internal/entry/group.go
@@ -4,7 +4,6 @@
 	"strconv"
 	"time"
 
-	"github.com/medlardeck/medlardeck/internal/admission"
 	"github.com/medlardeck/medlardeck/internal/group"
 	"github.com/medlardeck/medlardeck/internal/request"
 	"github.com/medlardeck/medlardeck/internal/result"
@@ -75,8 +74,7 @@
 		e.giveUp(a, result.GroupUnavailable)
 		return
 	}
-	if late := e.predictGroupLateness(a, engines); late > 0 {
-		e.giveUpPastDeadline(a, late)
+	if end, known := e.predictGroupEnd(a, engines); known && e.giveUpIfLate(a, end) {
 		return
 	}
 	if members == nil {
@@ -93,25 +91,29 @@
 	e.runGroupStep(a, a.groupRun)
 }
 
-// predictGroupLateness predicts by how much the request would miss its
-// deadline; zero while the target has no samples of the class.
-func (e *Entry) predictGroupLateness(a *activeRequest, engines []group.EngineMemory) time.Duration {
+// predictGroupEnd predicts when the answer ends. known is false while the target has no
+// samples of the class.
+func (e *Entry) predictGroupEnd(a *activeRequest, engines []group.EngineMemory) (end time.Duration, known bool) {
 	tg := e.targets.Get(engines[0].Target)
 	if !e.targets.HasLearntRate(tg, a.class) {
-		return 0
+		return 0, false
 	}
 	prefill := float64(a.need.PromptTokens) / e.targets.PrefillRate(tg, a.class)
 	answer := time.Duration(e.answerLengths.expectedTokens(a.class, a.need.MaxTokens)) * e.targets.InterTokenLatency(tg)
-	return e.now + time.Duration(prefill*float64(time.Second)) + answer - a.lifecycle.Deadline()
+	return e.now + time.Duration(prefill*float64(time.Second)) + answer, true
 }
 
-// giveUpPastDeadline ends a request that would miss its deadline by late.
-func (e *Entry) giveUpPastDeadline(a *activeRequest, late time.Duration) {
+// giveUpIfLate ends a request that would end after its deadline, or that has not been
+// sent and would end after the end of a stop. It reports whether it did.
+func (e *Entry) giveUpIfLate(a *activeRequest, end time.Duration) bool {
 	if a.lifecycle.NotRunProof().Valid() {
-		e.refuse(a, result.DeadlineUnmet, admission.RetryAfter(late, e.rng))
-		return
+		return e.refuseIfLate(a, end)
+	}
+	if end <= a.lifecycle.Deadline() {
+		return false
 	}
 	e.giveUp(a, result.DeadlineUnmet)
+	return true
 }
 
 // retryGroupLater tries again after a random wait, so that two requests that
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/medlardeck/medlardeck/internal/configuration"
 	"github.com/medlardeck/medlardeck/internal/result"
+	"github.com/medlardeck/medlardeck/internal/target"
 )
 
 // stopTimeout is the timeout of the stops in these tests, far below the time limits of
@@ -196,3 +197,50 @@
 		must.Len(t, 1, answersTo(c.effectsByEntry["entry-000"], id), must.Sprint(id))
 	}
 }
+
+// Failure: a request that is predicted to outlast the stop is sent and cut all the same,
+// though another instance would serve it.
+func TestRequestThatDoesNotFitTheRestOfAStopIsRefusedOnArrival(t *testing.T) {
+	e := newSingleEngineEntry(0, 0)
+	e.opts.StopLag = time.Minute
+	now := trainPredictions(e, 0)
+	e.Step(now, Stop{Timeout: stopTimeout})
+	end := now + stopTimeout - lastAnswersTime
+	must.Len(t, 1, effectsOf[Send](e.Step(now, completionWithPrompt(1, 4000))))
+	effs := e.Step(end-300*time.Millisecond, completionWithPrompt(2, 4000)) // takes 600 ms
+	must.Len(t, 0, effectsOf[Send](effs))
+	must.Eq(t, map[RequestID]result.Code{2: result.Stopping}, finishCodes(effs))
+}
+
+// Failure: a request in the queue is refused only when the time of the stop is over,
+// though it was known before that it could not end in it.
+func TestQueuedRequestIsRefusedOnceItDoesNotFitTheRestOfAStop(t *testing.T) {
+	e := newSingleEngineEntry(0, 0)
+	now := trainPredictions(e, 0)
+	e.Step(now, loadReport(2, 0, 400_000))
+	must.Len(t, 0, effectsOf[Send](e.Step(now, completionWithPrompt(1, 4000)))) // takes 600 ms
+	e.Step(now, Stop{Timeout: stopTimeout})
+	end := now + stopTimeout - lastAnswersTime
+	must.MapEmpty(t, finishCodes(advanceTo(e, end-time.Second)))
+	must.Eq(t, map[RequestID]result.Code{1: result.Stopping}, finishCodes(advanceTo(e, end-500*time.Millisecond)))
+}
+
+// Failure: a prompt for several engines is begun though it can't end before the stop does.
+func TestPromptForSeveralEnginesThatDoesNotFitTheRestOfAStopIsRefused(t *testing.T) {
+	e := newTestEntry()
+	e.opts.StopLag = time.Minute
+	for _, name := range []string{"e0", "e1"} {
+		e.Step(0, LoadReported{Target: name, Report: target.Report{Sequence: 1, KVCapacityTokens: 400_000}})
+	}
+	now := time.Duration(0)
+	for id := range RequestID(40) { // 150,000 tokens take a second
+		sent := effectsOf[Send](e.Step(now, completionWithPrompt(1000+id, 150_000)))[0]
+		now += time.Second
+		e.Step(now, Delivered{Attempt: sent.Attempt, Tokens: 1})
+		e.Step(now, AttemptEnd{Attempt: sent.Attempt, Outcome: OutcomeComplete})
+	}
+	e.Step(now, Stop{Timeout: stopTimeout})
+	effs := e.Step(now, completionWithPrompt(1, 600_000))
+	must.Len(t, 0, effectsOf[GroupCall](effs))
+	must.Eq(t, map[RequestID]result.Code{1: result.Stopping}, finishCodes(effs))
+}
