lease: a release during a renewal revokes the lease

Cause: the release sets the phase while the renewal is in flight, and its reply is then taken for that to the revocation, which is never sent.

Evidence: the new test failed before ("expected condition to be false": the holder was idle after the reply to the renewal). The holder now remembers whether the call in flight is the revocation. The same holds for a lease that is given up because of a higher fencing number.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -81,6 +81,7 @@
 	validUntil     time.Duration // end of the lease's validity for the holder
 	nextCallAt     time.Duration // earliest time of the next call
 	callInFlight   bool
+	revoking       bool // the call in flight is the revocation
 	// minFence is the lowest fencing token to use; it is higher than any that
 	// targets reported.
 	minFence uint64
@@ -134,6 +135,7 @@
 		return store.Call{}, false
 	}
 	h.callInFlight, h.callStartedAt = true, now
+	h.revoking = h.phase == revokingLease
 	switch h.phase {
 	case idle, readingKeys:
 		h.phase = readingKeys
@@ -185,7 +187,9 @@
 	case holding:
 		h.handleRenewal(now, r)
 	case revokingLease:
-		h.giveUp(now)
+		if h.revoking { // not a renewal that was in flight at the release
+			h.giveUp(now)
+		}
 	case idle:
 	}
 }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -210,6 +210,27 @@
 	must.Eq(t, 8, fence)
 }
 
+// Failure: a lease that is released while a renewal is under way is not revoked, since
+// the reply to the renewal is taken for that to the revocation. Nobody can hold it until
+// its time to live is over.
+func TestReleaseDuringARenewalRevokesTheLease(t *testing.T) {
+	s := newFakeStore()
+	a, b := New(Options{KeyPrefix: "k", Name: "a"}), New(Options{KeyPrefix: "k", Name: "b"})
+	runCalls(s, a)
+	s.advance(DefaultTTL / renewalsPerTTL)
+	renewal, ok := a.NextCall(s.now)
+	must.True(t, ok)
+	must.Eq(t, store.OpLeaseRenew, renewal.Op)
+	a.Release(s.now)
+	a.HandleReply(s.now, s.execute(renewal))
+	must.False(t, a.Idle())
+	runCalls(s, a)
+	must.True(t, a.Idle())
+	runCalls(s, b)
+	_, ok = b.FenceIfHeld(s.now, 0)
+	must.True(t, ok)
+}
+
 func TestHeldIsFalseAtEndOfValidityAndWithoutEnoughTimeLeft(t *testing.T) {
 	s := newFakeStore()
 	h := New(Options{KeyPrefix: "k", Name: "a"})
