--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -72,9 +72,9 @@
 	case a.lifecycle.NotRunProof().Valid():
 		e.refuseStopping(a)
 	case a.lifecycle.Tokens() > 0 || a.headDelivered:
-		e.finish(a, request.Fail(result.StoppedRunning))
+		e.finish(a, request.Fail(result.StopRunning))
 	default:
-		e.finish(a, request.Unknown(result.StoppedAfterSend))
+		e.finish(a, request.Unknown(result.StopAfterSend))
 	}
 }
 
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -54,7 +54,7 @@
 	must.MapEmpty(t, finishCodes(advanceTo(e, stopTimeout/2)))
 	effs := advanceTo(e, stopTimeout-time.Millisecond)
 	must.Eq(t, map[RequestID]result.Code{
-		1: result.StoppedAfterSend, 2: result.StoppedRunning, 3: result.StoppedAfterSend, 4: result.StoppedRunning, 5: result.Stopping,
+		1: result.StopAfterSend, 2: result.StopRunning, 3: result.StopAfterSend, 4: result.StopRunning, 5: result.Stopping,
 	}, finishCodes(effs))
 	must.SliceContainsAll(t, effectsOf[Cancel](effs), []Cancel{{sent.Attempt}, {streaming.Attempt}, {booking.Attempt}, {answering.Attempt}})
 	for _, f := range effectsOf[Finish](effs) {
@@ -80,7 +80,7 @@
 	must.Len(t, 1, e.suspects.held)
 	effs := append(e.Step(time.Second, ExpireStop{}), e.Step(time.Second, Tick{})...)
 	must.Len(t, 0, effectsOf[Send](effs))
-	must.Eq(t, map[RequestID]result.Code{1: result.StoppedAfterSend, 2: result.Stopping}, finishCodes(effs))
+	must.Eq(t, map[RequestID]result.Code{1: result.StopAfterSend, 2: result.Stopping}, finishCodes(effs))
 }
 
 // Failure: a resend that joined a run gets no answer when the stop ends the run.
@@ -92,7 +92,7 @@
 	resend := first
 	resend.Request = 2
 	must.Len(t, 1, effectsOf[Join](e.Step(0, resend)))
-	must.Eq(t, map[RequestID]result.Code{1: result.StoppedAfterSend, 2: result.StoppedAfterSend}, finishCodes(e.Step(0, ExpireStop{})))
+	must.Eq(t, map[RequestID]result.Code{1: result.StopAfterSend, 2: result.StopAfterSend}, finishCodes(e.Step(0, ExpireStop{})))
 }
 
 // Failure: a stop whose timeout is shorter than its lag cuts what it still takes.
@@ -102,7 +102,7 @@
 	e.Step(0, Stop{Timeout: stopTimeout})
 	must.Len(t, 1, effectsOf[Send](e.Step(time.Second, completion(1))))
 	effs := advanceTo(e, stopTimeout-time.Millisecond)
-	must.Eq(t, map[RequestID]result.Code{1: result.StoppedAfterSend}, finishCodes(effs))
+	must.Eq(t, map[RequestID]result.Code{1: result.StopAfterSend}, finishCodes(effs))
 	must.Len(t, 1, effectsOf[Stopped](effs))
 	must.Eq(t, map[RequestID]result.Code{2: result.Stopping}, finishCodes(e.Step(stopTimeout, completion(2))))
 }
@@ -114,7 +114,7 @@
 	e.Step(0, Stop{Timeout: stopTimeout})
 	e.Step(time.Second, Stop{Timeout: time.Hour})
 	e.Step(time.Second, Stop{})
-	must.Eq(t, map[RequestID]result.Code{1: result.StoppedAfterSend}, finishCodes(advanceTo(e, stopTimeout)))
+	must.Eq(t, map[RequestID]result.Code{1: result.StopAfterSend}, finishCodes(advanceTo(e, stopTimeout)))
 	must.Len(t, 0, effectsOf[StopExpired](e.Step(stopTimeout, ExpireStop{})))
 }
 
@@ -140,7 +140,7 @@
 	unclaimed := sim.submitBooking(0, "cut-2")
 	sim.stepEntry(0, Stop{Timeout: stopTimeout})
 	sim.stepEntry(0, ExpireStop{})
-	must.Eq(t, result.StoppedAfterSend, sim.resultOf(running))
+	must.Eq(t, result.StopAfterSend, sim.resultOf(running))
 	must.Eq(t, result.Stopping, sim.resultOf(unclaimed))
 	sim.storeOutage = false
 	sim.advance(stopTimeout)
