--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -186,8 +186,8 @@
 		e.handleAdoptConfiguration(ev.Accepted)
 	case Stop:
 		e.handleStop(ev.Timeout)
-	case ExpireStop:
-		e.expireStop()
+	case EndStop:
+		e.endStop()
 	case Tick:
 	}
 	e.applyClaimVerdicts()
--- a/internal/entry/event.go
+++ b/internal/entry/event.go
@@ -150,8 +150,8 @@
 	Timeout time.Duration `json:"timeout,omitempty"`
 }
 
-// ExpireStop ends what a planned stop still waits for.
-type ExpireStop struct{}
+// EndStop ends what a planned stop still waits for.
+type EndStop struct{}
 
 func (RequestArrived) eventKind() string     { return "arrive" }
 func (Delivered) eventKind() string          { return "delivered" }
@@ -165,4 +165,4 @@
 func (AdoptConfiguration) eventKind() string { return "adopt" }
 func (Tick) eventKind() string               { return "tick" }
 func (Stop) eventKind() string               { return "stop" }
-func (ExpireStop) eventKind() string         { return "expire-stop" }
+func (EndStop) eventKind() string            { return "end-stop" }
--- a/internal/entry/line.go
+++ b/internal/entry/line.go
@@ -33,7 +33,7 @@
 	OperatorCommand{},
 	Tick{},
 	Stop{},
-	ExpireStop{},
+	EndStop{},
 }, Event.eventKind)
 
 // typesByKind maps the kind of each value to the type of the value.
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -28,7 +28,7 @@
 	if timeout > 0 {
 		left := timeout - min(lastAnswersTime, timeout/2)
 		e.stopEnd = e.now + left
-		e.scheduleAfter(left, e.expireStop)
+		e.scheduleAfter(left, e.endStop)
 	}
 	if e.opts.StopLag == 0 {
 		e.refusingWork = true
@@ -37,9 +37,9 @@
 	e.scheduleAfter(e.opts.StopLag, func() { e.refusingWork = true })
 }
 
-// expireStop ends every open request and command and refuses new ones. The list of held requests
+// endStop ends every open request and command and refuses new ones. The list of held requests
 // is cleared first: the end of a run of their fingerprint would send them.
-func (e *Entry) expireStop() {
+func (e *Entry) endStop() {
 	if e.stopped || e.stopExpired {
 		return
 	}
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -78,7 +78,7 @@
 	e.targets.Get(sent.Target).Isolated = true // the copy can't be sent there
 	must.Len(t, 0, effectsOf[Send](e.Step(0, copied)))
 	must.Len(t, 1, e.suspects.held)
-	effs := append(e.Step(time.Second, ExpireStop{}), e.Step(time.Second, Tick{})...)
+	effs := append(e.Step(time.Second, EndStop{}), e.Step(time.Second, Tick{})...)
 	must.Len(t, 0, effectsOf[Send](effs))
 	must.Eq(t, map[RequestID]result.Code{1: result.StopAfterSend, 2: result.Stopping}, finishCodes(effs))
 }
@@ -92,7 +92,7 @@
 	resend := first
 	resend.Request = 2
 	must.Len(t, 1, effectsOf[Join](e.Step(0, resend)))
-	must.Eq(t, map[RequestID]result.Code{1: result.StopAfterSend, 2: result.StopAfterSend}, finishCodes(e.Step(0, ExpireStop{})))
+	must.Eq(t, map[RequestID]result.Code{1: result.StopAfterSend, 2: result.StopAfterSend}, finishCodes(e.Step(0, EndStop{})))
 }
 
 // Failure: a stop whose timeout is shorter than its lag cuts what it still takes.
@@ -115,7 +115,7 @@
 	e.Step(time.Second, Stop{Timeout: time.Hour})
 	e.Step(time.Second, Stop{})
 	must.Eq(t, map[RequestID]result.Code{1: result.StopAfterSend}, finishCodes(advanceTo(e, stopTimeout)))
-	must.Len(t, 0, effectsOf[StopExpired](e.Step(stopTimeout, ExpireStop{})))
+	must.Len(t, 0, effectsOf[StopExpired](e.Step(stopTimeout, EndStop{})))
 }
 
 // Failure: a stop that needs less than its timeout ends requests that are still open.
@@ -139,7 +139,7 @@
 	sim.storeOutage = true
 	unclaimed := sim.submitBooking(0, "cut-2")
 	sim.stepEntry(0, Stop{Timeout: stopTimeout})
-	sim.stepEntry(0, ExpireStop{})
+	sim.stepEntry(0, EndStop{})
 	must.Eq(t, result.StopAfterSend, sim.resultOf(running))
 	must.Eq(t, result.Stopping, sim.resultOf(unclaimed))
 	sim.storeOutage = false
--- a/internal/instance/stop.go
+++ b/internal/instance/stop.go
@@ -26,11 +26,11 @@
 	case <-i.Node.Stopped():
 		i.waitStopLag(end)
 	case <-end.Done():
-		i.Node.ExpireStop()
+		i.Node.EndStop()
 	}
 	err := i.shutDownServers(end)
 	if err != nil {
-		i.Node.ExpireStop()
+		i.Node.EndStop()
 		last, cancelLast := context.WithTimeout(context.WithoutCancel(ctx), lastAnswersTime)
 		defer cancelLast()
 		err = i.shutDownServers(last) // Close cuts what is open after that
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,9 +81,9 @@
 
 	rearm    chan struct{} // signalled when a timer is due before nextWake
 	stopDone chan struct{} // closed when a planned stop is done
-	// stopExpired is cancelled by expireStop when the time of a planned stop is over.
-	stopExpired context.Context
-	expireStop  context.CancelFunc
+	// stopExpired is cancelled by setStopExpired when the time of a planned stop is over.
+	stopExpired    context.Context
+	setStopExpired context.CancelFunc
 	// configured is closed once the first configuration is in force.
 	configured     chan struct{}
 	configuredOnce sync.Once
@@ -107,7 +107,7 @@
 		opts.Entry.Wall = time.Duration(float64(start.Sub(recordEpoch)) * opts.Speed)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	stopExpired, expireStop := context.WithCancel(context.Background())
+	stopExpired, setStopExpired := context.WithCancel(context.Background())
 	n := &Node{
 		opts: opts, startTime: start, entry: entry.New(opts.Entry),
 		exchanges: make(map[entry.RequestID]*Exchange),
@@ -115,7 +115,7 @@
 		rearm:     make(chan struct{}, 1), stopDone: make(chan struct{}), configured: make(chan struct{}),
 		pendingOperations: make(map[uint64]chan entry.CommandResult),
 		peerSendSlots:     make(chan struct{}, maxPeerSends),
-		ctx:               ctx, cancel: cancel, stopExpired: stopExpired, expireStop: expireStop,
+		ctx:               ctx, cancel: cancel, stopExpired: stopExpired, setStopExpired: setStopExpired,
 	}
 	n.wg.Go(n.runTimers)
 	return n
@@ -145,8 +145,8 @@
 	n.Step(entry.Stop{Timeout: time.Duration(float64(timeout) * n.opts.Speed)})
 }
 
-// ExpireStop ends every request that a planned stop still waits for.
-func (n *Node) ExpireStop() { n.Step(entry.ExpireStop{}) }
+// EndStop ends every request that a planned stop still waits for.
+func (n *Node) EndStop() { n.Step(entry.EndStop{}) }
 
 // Stopped returns a channel that is closed when a planned stop is done.
 func (n *Node) Stopped() <-chan struct{} { return n.stopDone }
@@ -266,7 +266,7 @@
 	case entry.Stopped:
 		close(n.stopDone)
 	case entry.StopExpired:
-		n.expireStop()
+		n.setStopExpired()
 	}
 }
 
