drainconn: callers' connections that can be drained have a package of their own

Moved out of package fleetnode, so that the loopback interface can use them as well. Names that others use are exported; the server is made by its user, since its time-outs are the user's.

--- a/internal/fleetnode/callers.go
+++ b/internal/drainconn/drainconn.go
@@ -1,4 +1,6 @@
-package fleetnode
+// Package drainconn accepts connections of HTTP callers and ends them without losing a
+// request that is just arriving.
+package drainconn
 
 import (
 	"errors"
@@ -14,33 +16,34 @@
 	"golang.org/x/sys/unix"
 )
 
-// callerListener accepts connections of callers, or of peers that relay their requests, and
+// Listener accepts connections of callers, or of peers that relay their requests, and
 // ends them during a stop without losing a request that is just arriving. http.Server
 // cannot: it counts a connection as idle until it has read the whole head of the next
 // request, and would close it while that request is passed on.
-type callerListener struct {
+type Listener struct {
 	*net.TCPListener
 	log logr.Logger
 	// allowed says from which addresses connections are accepted; nil for all.
 	allowed  func(netip.Addr) bool
 	mu       sync.Mutex
-	conns    map[*callerConn]bool
+	conns    map[*drainedConn]bool
 	draining bool // connections are closed when they become idle
 }
 
-// listenCallers listens at an address, given as host:port.
-func listenCallers(address string, allowed func(netip.Addr) bool, log logr.Logger) (*callerListener, error) {
+// Listen listens at an address, given as host:port. It accepts connections from the allowed
+// addresses, or from all if allowed is nil.
+func Listen(address string, allowed func(netip.Addr) bool, log logr.Logger) (*Listener, error) {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen at %s: %w", address, err)
 	}
-	return &callerListener{
-		TCPListener: listener.(*net.TCPListener), log: log, allowed: allowed, conns: make(map[*callerConn]bool),
+	return &Listener{
+		TCPListener: listener.(*net.TCPListener), log: log, allowed: allowed, conns: make(map[*drainedConn]bool),
 	}, nil
 }
 
 // Accept implements net.Listener.
-func (l *callerListener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.AcceptTCP()
 		if err != nil {
@@ -51,7 +54,7 @@
 			_ = conn.Close()
 			continue
 		}
-		c := &callerConn{TCPConn: conn, listener: l, acceptedAt: time.Now()}
+		c := &drainedConn{TCPConn: conn, listener: l, acceptedAt: time.Now()}
 		l.mu.Lock()
 		l.conns[c] = true
 		l.mu.Unlock()
@@ -59,18 +62,10 @@
 	}
 }
 
-// newServer returns a server for the listener's connections. SetReadDeadline relies on its
-// time-outs.
-func (l *callerListener) newServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: l.recordState,
-	}
-}
-
-// recordState is the server's http.Server.ConnState.
-func (l *callerListener) recordState(conn net.Conn, state http.ConnState) {
-	c, ok := conn.(*callerConn)
+// RecordState is the http.Server.ConnState of the server. The server needs time-outs for
+// heads and idle connections: SetReadDeadline relies on them.
+func (l *Listener) RecordState(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*drainedConn)
 	if !ok || state != http.StateIdle {
 		return
 	}
@@ -82,10 +77,10 @@
 	}
 }
 
-// closeIdle closes the connections that wait for a next request, and from now on those
+// CloseIdle closes the connections that wait for a next request, and from now on those
 // that would. Connections that have been open for unusedFor without bringing a request are
 // closed too.
-func (l *callerListener) closeIdle(unusedFor time.Duration) {
+func (l *Listener) CloseIdle(unusedFor time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.draining = true
@@ -96,37 +91,40 @@
 	}
 }
 
-// connCounts are numbers of open connections by their state: idle ones have served a
+// Counts are numbers of open connections by their state: idle ones have served a
 // request and wait for the next, unused ones have not brought a byte yet.
-type connCounts struct{ inUse, idle, unused int }
+type Counts struct{ InUse, Idle, Unused int }
 
-func (n connCounts) plus(other connCounts) connCounts {
-	return connCounts{n.inUse + other.inUse, n.idle + other.idle, n.unused + other.unused}
+// Plus returns the sums of both counts.
+func (n Counts) Plus(other Counts) Counts {
+	return Counts{n.InUse + other.InUse, n.Idle + other.Idle, n.Unused + other.Unused}
 }
 
-func (n connCounts) total() int { return n.inUse + n.idle + n.unused }
+// Total returns the number of open connections.
+func (n Counts) Total() int { return n.InUse + n.Idle + n.Unused }
 
-func (l *callerListener) counts() connCounts {
+// Counts counts the open connections.
+func (l *Listener) Counts() Counts {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var n connCounts
+	var n Counts
 	for c := range l.conns {
 		switch started, idle := c.state(); {
 		case !started:
-			n.unused++
+			n.Unused++
 		case idle:
-			n.idle++
+			n.Idle++
 		default:
-			n.inUse++
+			n.InUse++
 		}
 	}
 	return n
 }
 
-// callerConn is one caller's connection.
-type callerConn struct {
+// drainedConn is one connection.
+type drainedConn struct {
 	*net.TCPConn
-	listener   *callerListener
+	listener   *Listener
 	acceptedAt time.Time
 	mu         sync.Mutex
 	started    bool // a byte has been read
@@ -134,20 +132,20 @@
 	closing    bool // a read that gets no byte ends the connection
 }
 
-func (c *callerConn) state() (started, idle bool) {
+func (c *drainedConn) state() (started, idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.started, c.idle
 }
 
-func (c *callerConn) setIdle() {
+func (c *drainedConn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle = true
 }
 
 // closeIfIdle closes the connection if it is idle, and reports whether it is.
-func (c *callerConn) closeIfIdle() bool {
+func (c *drainedConn) closeIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idle {
@@ -157,7 +155,7 @@
 }
 
 // closeIfUnused closes a connection that has not brought a byte.
-func (c *callerConn) closeIfUnused() {
+func (c *drainedConn) closeIfUnused() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.started {
@@ -167,13 +165,13 @@
 
 // closeLocked lets the pending read fail, on which the server closes the connection. If
 // bytes of a request arrive first, the request is served. c.mu must be held.
-func (c *callerConn) closeLocked() {
+func (c *drainedConn) closeLocked() {
 	c.closing = true
 	_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0)) // a broken connection ends without it
 }
 
 // Read implements net.Conn.
-func (c *callerConn) Read(p []byte) (int, error) {
+func (c *drainedConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.isClosing() {
 		n, err = c.readArrived(p, err)
@@ -191,7 +189,7 @@
 	return n, err
 }
 
-func (c *callerConn) isClosing() bool {
+func (c *drainedConn) isClosing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.closing
@@ -199,7 +197,7 @@
 
 // readArrived reads bytes that arrived before the connection was closed: a read that begins
 // after its deadline returns none. It returns noneErr if there are none.
-func (c *callerConn) readArrived(p []byte, noneErr error) (int, error) {
+func (c *drainedConn) readArrived(p []byte, noneErr error) (int, error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return 0, err
@@ -219,7 +217,7 @@
 // that is being closed. http.Server, which has time-outs for idle connections and for
 // heads, removes the deadline only when it has read a whole head. That request may have
 // been read together with the one before, so that no read has shown it.
-func (c *callerConn) SetReadDeadline(t time.Time) error {
+func (c *drainedConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if t.IsZero() {
@@ -232,7 +230,7 @@
 }
 
 // Close implements net.Conn.
-func (c *callerConn) Close() error {
+func (c *drainedConn) Close() error {
 	c.listener.mu.Lock()
 	delete(c.listener.conns, c)
 	c.listener.mu.Unlock()
--- a/internal/fleetnode/callers_test.go
+++ b/internal/drainconn/drainconn_test.go
@@ -1,4 +1,4 @@
-package fleetnode
+package drainconn
 
 import (
 	"bufio"
@@ -14,19 +14,27 @@
 	"github.com/shoenig/test/must"
 )
 
+// newConnGrace is how long an unused connection may have been open.
+const newConnGrace = time.Second
+
+// newServer returns a server for the listener's connections.
+func newServer(l *Listener, handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute, ConnState: l.RecordState}
+}
+
 // callerServer is a server of callers that counts the runs of requests to /last.
 type callerServer struct {
-	*callerListener
+	*Listener
 	server *http.Server
 	runs   atomic.Int32
 }
 
 func startCallerServer(t *testing.T) *callerServer {
 	t.Helper()
-	listener, err := listenCallers("127.0.0.1:0", nil, logr.Discard())
+	listener, err := Listen("127.0.0.1:0", nil, logr.Discard())
 	must.NoError(t, err)
-	s := &callerServer{callerListener: listener}
-	s.server = s.newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s := &callerServer{Listener: listener}
+	s.server = newServer(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/last" {
 			s.runs.Add(1)
 			w.Header().Set("Connection", "close")
@@ -75,7 +83,7 @@
 		conn, br := s.dialIdle(t)
 		go func() {
 			time.Sleep(time.Duration(i%25) * 8 * time.Microsecond)
-			s.closeIdle(newConnGrace)
+			s.CloseIdle(newConnGrace)
 		}()
 		time.Sleep(time.Duration(i%11) * 15 * time.Microsecond)
 		head, rest := "GET /last HTTP/1.1\r\nHo", "st: h\r\n\r\n"
@@ -103,7 +111,7 @@
 	_, err := fmt.Fprint(busy, "GET /last HTTP/1.1\r\nHost: h\r\n")
 	must.NoError(t, err)
 	time.Sleep(50 * time.Millisecond)
-	s.closeIdle(newConnGrace)
+	s.CloseIdle(newConnGrace)
 	must.Eq(t, 0, readStatus(t, idle))
 	time.Sleep(50 * time.Millisecond)
 	_, err = fmt.Fprint(busy, "\r\n")
@@ -114,10 +122,10 @@
 // A caller that sends its next request without waiting for an answer must not lose it when
 // the idle connections are closed: the request may have been read with the one before.
 func TestRequestReadWithTheOneBeforeIsNotCutByTheCloseOfIdleConnections(t *testing.T) {
-	listener, err := listenCallers("127.0.0.1:0", nil, logr.Discard())
+	listener, err := Listen("127.0.0.1:0", nil, logr.Discard())
 	must.NoError(t, err)
 	begun, cut := make(chan struct{}), make(chan bool, 1)
-	server := listener.newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := newServer(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/second" {
 			close(begun)
 			select {
@@ -137,7 +145,7 @@
 	_, err = fmt.Fprint(conn, "GET /first HTTP/1.1\r\nHost: h\r\n\r\nGET /second HTTP/1.1\r\nHost: h\r\n\r\n")
 	must.NoError(t, err)
 	<-begun
-	listener.closeIdle(newConnGrace)
+	listener.CloseIdle(newConnGrace)
 	must.False(t, <-cut)
 	br := bufio.NewReader(conn)
 	must.Eq(t, 200, readStatus(t, br))
@@ -147,10 +155,10 @@
 // A request that arrives while the one before is being answered must not be lost because
 // the connection is closed as soon as it is idle.
 func TestRequestThatArrivedBeforeItsConnectionBecameIdleIsServed(t *testing.T) {
-	listener, err := listenCallers("127.0.0.1:0", nil, logr.Discard())
+	listener, err := Listen("127.0.0.1:0", nil, logr.Discard())
 	must.NoError(t, err)
 	begun, answer := make(chan struct{}), make(chan struct{})
-	server := listener.newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := newServer(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/first" {
 			close(begun)
 			<-answer
@@ -165,7 +173,7 @@
 	_, err = fmt.Fprint(conn, "GET /first HTTP/1.1\r\nHost: h\r\n\r\n")
 	must.NoError(t, err)
 	<-begun
-	listener.closeIdle(newConnGrace)
+	listener.CloseIdle(newConnGrace)
 	_, err = fmt.Fprint(conn, "GET /second HTTP/1.1\r\nHost: h\r\n\r\n")
 	must.NoError(t, err)
 	time.Sleep(20 * time.Millisecond)
@@ -188,11 +196,11 @@
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = recent.Close() })
 	time.Sleep(20 * time.Millisecond)
-	s.closeIdle(90 * time.Millisecond)
+	s.CloseIdle(90 * time.Millisecond)
 	must.Eq(t, 0, readStatus(t, bufio.NewReader(old)))
 	_, err = fmt.Fprint(recent, "GET /last HTTP/1.1\r\nHost: h\r\n\r\n")
 	must.NoError(t, err)
 	must.Eq(t, 200, readStatus(t, bufio.NewReader(recent)))
 	time.Sleep(20 * time.Millisecond)
-	must.Eq(t, 0, s.counts().total())
+	must.Eq(t, 0, s.Counts().Total())
 }
--- a/internal/fleetnode/stop.go
+++ b/internal/fleetnode/stop.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/medlardeck/medlardeck/internal/drainconn"
 	"github.com/medlardeck/medlardeck/internal/fleet"
 )
 
@@ -32,7 +33,7 @@
 
 // requestServer serves the requests of callers, or those that peers relay.
 type requestServer struct {
-	*callerListener
+	*drainconn.Listener
 	server *http.Server
 	done   chan struct{} // closed when no more connections are accepted
 }
@@ -40,11 +41,11 @@
 // serveRequests listens at an address and serves it in the background. Connections are
 // accepted from all addresses, or from the allowed ones.
 func (i *Instance) serveRequests(address string, handler http.Handler, allowed func(netip.Addr) bool) (*requestServer, error) {
-	listener, err := listenCallers(address, allowed, i.opts.Log)
+	listener, err := drainconn.Listen(address, allowed, i.opts.Log)
 	if err != nil {
 		return nil, err
 	}
-	s := &requestServer{listener, listener.newServer(handler), make(chan struct{})}
+	s := &requestServer{listener, newRequestServer(listener, handler), make(chan struct{})}
 	go func() {
 		defer close(s.done)
 		i.serveListener(s.server, listener)
@@ -52,6 +53,14 @@
 	return s, nil
 }
 
+// newRequestServer returns a server for the listener's connections.
+func newRequestServer(l *drainconn.Listener, handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: l.RecordState,
+	}
+}
+
 // requestServers returns the servers that have been started.
 func (i *Instance) requestServers() []*requestServer {
 	var servers []*requestServer
@@ -82,15 +91,15 @@
 	i.closeListeners()
 	waitUntil(begin.Add(grace), func() bool {
 		i.closeIdle(newConnGrace)
-		return i.connections().total() == 0 && i.node.IdleFor(0)
+		return i.connections().Total() == 0 && i.node.IdleFor(0)
 	})
 	// A request may have been read since. From here on it is refused instead of sent.
 	i.node.Step(fleet.EndStop{})
 	waitUntil(begin.Add(grace+finalAnswerTime), func() bool {
 		i.closeIdle(0)
-		return i.connections().total() == 0
+		return i.connections().Total() == 0
 	})
-	i.logConnections("stopped", "instance", i.opts.Settings.Name, "cut_short", i.connections().inUse > 0)
+	i.logConnections("stopped", "instance", i.opts.Settings.Name, "cut_short", i.connections().InUse > 0)
 	i.Close()
 }
 
@@ -102,10 +111,10 @@
 	}
 }
 
-// closeIdle is callerListener.closeIdle for all request servers.
+// closeIdle is drainconn.Listener.CloseIdle for all request servers.
 func (i *Instance) closeIdle(unusedFor time.Duration) {
 	for _, s := range i.requestServers() {
-		s.closeIdle(unusedFor)
+		s.CloseIdle(unusedFor)
 	}
 }
 
@@ -121,10 +130,10 @@
 }
 
 // connections counts the open connections of callers and relaying peers.
-func (i *Instance) connections() connCounts {
-	var n connCounts
+func (i *Instance) connections() drainconn.Counts {
+	var n drainconn.Counts
 	for _, s := range i.requestServers() {
-		n = n.plus(s.counts())
+		n = n.Plus(s.Counts())
 	}
 	return n
 }
@@ -132,5 +141,5 @@
 // logConnections writes a line with the open connections by their state.
 func (i *Instance) logConnections(event string, pairs ...any) {
 	n := i.connections()
-	i.opts.Log.Info(event, append(pairs, "in_use", n.inUse, "idle", n.idle, "unused", n.unused)...)
+	i.opts.Log.Info(event, append(pairs, "in_use", n.InUse, "idle", n.Idle, "unused", n.Unused)...)
 }
