instance, drainconn: a request that is being read at the end of a stop is answered

What callers saw: a request whose head had arrived in part when a stop closed the idle connections was dropped without an answer, as a first request and as a later one. It did not run, but its caller could not know.

Cause: net/http counts a connection as idle, or as new, until it has read the whole head. Its Shutdown closes an idle one at once, and drops a head that is complete after that.

Change: the servers of callers and operators use drainconn, as package fleetnode does: the listener closes, connections end by their pending reads, and a request whose first byte has been read is served, which here means refused. Over TLS the server may have got the beginning of a request before the connection became idle, without a read that shows it: such a connection has half a second in which the rest may arrive.

Evidence: the new test failed in all four of its cases before (plain and TLS, first and later request: unexpected EOF).

--- a/internal/drainconn/drainconn.go
+++ b/internal/drainconn/drainconn.go
@@ -3,6 +3,7 @@
 package drainconn
 
 import (
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -16,6 +17,10 @@
 	"golang.org/x/sys/unix"
 )
 
+// tlsRequestTime is how long an idle connection with TLS may take to bring a next request
+// when it is to be closed.
+const tlsRequestTime = 500 * time.Millisecond
+
 // Listener accepts connections of callers, or of peers that relay their requests, and
 // ends them during a stop without losing a request that is just arriving. http.Server
 // cannot: it counts a connection as idle until it has read the whole head of the next
@@ -37,9 +42,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen at %s: %w", address, err)
 	}
-	return &Listener{
-		TCPListener: listener.(*net.TCPListener), log: log, allowed: allowed, conns: make(map[*drainedConn]bool),
-	}, nil
+	l := New(listener.(*net.TCPListener))
+	l.log, l.allowed = log, allowed
+	return l, nil
+}
+
+// New returns a Listener that accepts all connections of a TCP listener.
+func New(listener *net.TCPListener) *Listener {
+	return &Listener{TCPListener: listener, conns: make(map[*drainedConn]bool)}
 }
 
 // Accept implements net.Listener.
@@ -65,13 +75,17 @@
 // RecordState is the http.Server.ConnState of the server. The server needs time-outs for
 // heads and idle connections: SetReadDeadline relies on them.
 func (l *Listener) RecordState(conn net.Conn, state http.ConnState) {
+	overTLS, isTLS := conn.(*tls.Conn)
+	if isTLS {
+		conn = overTLS.NetConn()
+	}
 	c, ok := conn.(*drainedConn)
 	if !ok || state != http.StateIdle {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c.setIdle()
+	c.setIdle(isTLS)
 	if l.draining {
 		_ = c.closeIfIdle()
 	}
@@ -129,6 +143,7 @@
 	mu         sync.Mutex
 	started    bool // a byte has been read
 	idle       bool // a request has ended, and no byte of the next has been read
+	isTLS      bool // bytes of a next request may be in the TLS layer while it is idle
 	closing    bool // a read that gets no byte ends the connection
 }
 
@@ -138,10 +153,10 @@
 	return c.started, c.idle
 }
 
-func (c *drainedConn) setIdle() {
+func (c *drainedConn) setIdle(isTLS bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle = true
+	c.idle, c.isTLS = true, isTLS
 }
 
 // closeIfIdle closes the connection if it is idle, and reports whether it is.
@@ -164,10 +179,19 @@
 }
 
 // closeLocked lets the pending read fail, on which the server closes the connection. If
-// bytes of a request arrive first, the request is served. c.mu must be held.
+// bytes of a request arrive first, the request is served. The server may have got the
+// beginning of a request from the TLS layer already: then the rest has tlsRequestTime to
+// arrive. c.mu must be held.
 func (c *drainedConn) closeLocked() {
+	deadline := time.Unix(1, 0)
+	if c.isTLS {
+		if c.closing {
+			return // its time runs already
+		}
+		deadline = time.Now().Add(tlsRequestTime)
+	}
 	c.closing = true
-	_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0)) // a broken connection ends without it
+	_ = c.TCPConn.SetReadDeadline(deadline) // a broken connection ends without it
 }
 
 // Read implements net.Conn.
--- a/internal/instance/crossing_test.go
+++ b/internal/instance/crossing_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"crypto/tls"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +16,8 @@
 
 	"github.com/medlardeck/medlardeck/internal/configuration"
 	"github.com/medlardeck/medlardeck/internal/httpapi"
+	"github.com/medlardeck/medlardeck/internal/peer"
+	"github.com/medlardeck/medlardeck/internal/result"
 )
 
 // runRecorder is a target that records which calls it ran.
@@ -99,3 +103,61 @@
 		must.NoError(t, srv.Close())
 	}
 }
+
+// newCallerTLS returns the TLS configuration of a server for callers.
+func newCallerTLS(t *testing.T) *tls.Config {
+	t.Helper()
+	certFile, keyFile := writeCertificate(t, t.TempDir(), 1)
+	identity, err := peer.LoadIdentity(certFile, keyFile, "")
+	must.NoError(t, err)
+	return identity.Public()
+}
+
+// Failure: a request whose head is being read when a stop closes idle connections is
+// dropped without an answer, as a first request and as a later one.
+func TestRequestThatIsBeingReadAtTheEndOfAStopIsAnswered(t *testing.T) {
+	for _, overTLS := range []bool{false, true} {
+		for _, first := range []bool{false, true} {
+			t.Run(fmt.Sprintf("tls=%t,first=%t", overTLS, first), func(t *testing.T) {
+				var opts Options
+				if overTLS {
+					opts.CallerTLS = newCallerTLS(t)
+				}
+				inst, address := startInstanceWithIntent(t, testIntent(), opts)
+				conn, err := net.Dial("tcp", address)
+				must.NoError(t, err)
+				defer conn.Close()
+				if overTLS {
+					conn = tls.Client(conn, &tls.Config{InsecureSkipVerify: true})
+				}
+				in := bufio.NewReader(conn)
+				if !first {
+					_, err = io.WriteString(conn, "GET /v1/models HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer key\r\n\r\n")
+					must.NoError(t, err)
+					must.Eq(t, http.StatusOK, readResponse(t, in).StatusCode)
+				}
+				const body = `{"model":"draft","max_tokens":5,"prompt":"late"}`
+				_, err = io.WriteString(conn, "POST /v1/completions HTTP/1.1\r\nHost: a\r\n")
+				must.NoError(t, err)
+				time.Sleep(20 * time.Millisecond) // the server has read this part
+				stopped := make(chan error, 1)
+				go func() { stopped <- inst.Stop(t.Context()) }()
+				time.Sleep(50 * time.Millisecond) // idle connections are closed
+				_, err = fmt.Fprintf(conn, "Authorization: Bearer key\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+				must.NoError(t, err)
+				must.Eq(t, fmt.Sprint(int(result.Stopping)), readResponse(t, in).Header.Get(httpapi.HeaderCode))
+				must.NoError(t, <-stopped)
+			})
+		}
+	}
+}
+
+// readResponse reads a whole response.
+func readResponse(t *testing.T, in *bufio.Reader) *http.Response {
+	t.Helper()
+	resp, err := http.ReadResponse(in, nil)
+	must.NoError(t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	must.NoError(t, errors.Join(err, resp.Body.Close()))
+	return resp
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -35,7 +34,7 @@
 const idleTimeout = 10 * time.Minute
 
 // Options configures an instance. The instance owns the listeners and closes
-// them.
+// them; those for callers and operators are TCP listeners.
 type Options struct {
 	Entry entry.Options
 	// Callers, Operators and Peers are the listeners for callers' HTTP requests,
@@ -66,16 +65,16 @@
 type Instance struct {
 	Node *node.Node
 
-	engineClient   *engineclient.Client
-	storeHTTP      *store.HTTP
-	peerClient     *peer.Client
-	peerServer     *peer.Server
-	callerServer   *http.Server
-	operatorServer *http.Server
-	wg             sync.WaitGroup
-	serveErrors    chan error
-	stopLag        time.Duration
-	closeOnce      sync.Once
+	engineClient *engineclient.Client
+	storeHTTP    *store.HTTP
+	peerClient   *peer.Client
+	peerServer   *peer.Server
+	callers      *httpServer
+	operators    *httpServer
+	wg           sync.WaitGroup
+	serveErrors  chan error
+	stopLag      time.Duration
+	closeOnce    sync.Once
 }
 
 // Start starts an instance, which runs until Stop or Close. If a server cannot
@@ -105,16 +104,16 @@
 		Store:      store.NewClient(i.storeHTTP, store.ClientOptions{Counter: metrics, Seed: opts.Entry.Seed}),
 	})
 	opts.HTTP.Counter = metrics
-	i.callerServer = &http.Server{
+	i.callers = newHTTPServer(opts.Callers, &http.Server{
 		Handler: httpapi.New(i.Node, opts.HTTP), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: httpapi.MaxServerHeaderBytes, TLSConfig: opts.CallerTLS,
-	}
-	i.operatorServer = &http.Server{
+	})
+	i.operators = newHTTPServer(opts.Operators, &http.Server{
 		Handler: operatorapi.New(operatorapi.Options{
 			Node: i.Node, Metrics: metrics.Handler(), Ready: i.Node.Ready, Log: opts.Log, Operators: opts.OperatorKeys,
 		}),
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, TLSConfig: opts.OperatorTLS,
-	}
+	})
 	if err = registerGauges(metrics, i.Node); err == nil {
 		i.peerServer, err = peer.Serve(opts.Peers, serverTLS, i.Node.Receive)
 	}
@@ -123,8 +122,13 @@
 		i.Close()
 		return nil, fmt.Errorf("start instance %s: %w", opts.Entry.Name, err)
 	}
-	i.startServing(i.callerServer, opts.Callers)
-	i.startServing(i.operatorServer, opts.Operators)
+	for _, s := range []*httpServer{i.callers, i.operators} {
+		i.wg.Go(func() {
+			if err := s.serve(); err != nil {
+				i.serveErrors <- err
+			}
+		})
+	}
 	return i, nil
 }
 
@@ -139,24 +143,6 @@
 	return nil
 }
 
-// startServing serves ln in a goroutine, with TLS if srv has a TLS
-// configuration. An error other than a shutdown is sent to serveErrors.
-func (i *Instance) startServing(srv *http.Server, ln net.Listener) {
-	i.wg.Add(1)
-	go func() {
-		defer i.wg.Done()
-		var err error
-		if srv.TLSConfig != nil {
-			err = srv.ServeTLS(ln, "", "")
-		} else {
-			err = srv.Serve(ln)
-		}
-		if !errors.Is(err, http.ErrServerClosed) {
-			i.serveErrors <- fmt.Errorf("serve %s: %w", ln.Addr(), err)
-		}
-	}()
-}
-
 // Failed returns a channel that receives an error for each HTTP server that
 // ended without being stopped.
 func (i *Instance) Failed() <-chan error { return i.serveErrors }
@@ -166,8 +152,7 @@
 func (i *Instance) Close() { i.closeOnce.Do(i.closeComponents) }
 
 func (i *Instance) closeComponents() {
-	_ = i.callerServer.Close()
-	_ = i.operatorServer.Close()
+	_, _ = i.callers.Close(), i.operators.Close()
 	if i.peerServer != nil {
 		i.peerServer.Close()
 	}
--- a/internal/instance/stop.go
+++ b/internal/instance/stop.go
@@ -28,12 +28,12 @@
 	case <-end.Done():
 		i.Node.EndStop()
 	}
-	err := i.shutDownServers(end)
+	err := i.drainServers(end)
 	if err != nil {
 		i.Node.EndStop()
 		last, cancelLast := context.WithTimeout(context.WithoutCancel(ctx), lastAnswersTime)
 		defer cancelLast()
-		err = i.shutDownServers(last) // Close cuts what is open after that
+		err = i.drainServers(last) // Close cuts what is open after that
 	}
 	i.Close()
 	if err != nil || i.Node.StopExpired() {
@@ -63,12 +63,12 @@
 	return context.WithDeadline(ctx, deadline.Add(-min(lastAnswersTime, timeLeft(ctx)/lastPart)))
 }
 
-// shutDownServers closes the listeners and then each connection of callers and operators
+// drainServers closes the listeners and then each connection of callers and operators
 // when its request has been answered.
-func (i *Instance) shutDownServers(ctx context.Context) error {
+func (i *Instance) drainServers(ctx context.Context) error {
 	operators := make(chan error, 1)
-	go func() { operators <- i.operatorServer.Shutdown(ctx) }()
-	err := i.callerServer.Shutdown(ctx)
+	go func() { operators <- i.operators.drain(ctx) }()
+	err := i.callers.drain(ctx)
 	return errors.Join(err, <-operators)
 }
 
