--- a/internal/cli/serve_test.go
+++ b/internal/cli/serve_test.go
@@ -4,11 +4,15 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -59,6 +63,50 @@
 	}
 }
 
+// output is a buffer that is written and read at the same time.
+type output struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.buf.Write(p)
+}
+
+func (o *output) contains(text string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return strings.Contains(o.buf.String(), text)
+}
+
+// Failure: a second signal ends the process in the middle of a planned stop, and with it
+// the requests in flight.
+func TestSecondSignalDoesNotCutAPlannedStop(t *testing.T) {
+	const stopLag = 300 * time.Millisecond
+	store := httptest.NewServer(platformstandin.New(platformstandin.Options{}).Handler())
+	defer store.Close()
+	var stderr output
+	ended := make(chan int, 1)
+	go func() {
+		ended <- Main([]string{
+			"serve", "-name", "entry-0", "-failure-domain", "domain-a", "-platform", store.URL, "-stop-lag", stopLag.String(),
+			"-callers-address", "127.0.0.1:0", "-operators-address", "127.0.0.1:0", "-peers-address", "127.0.0.1:0",
+		}, io.Discard, &stderr)
+	}()
+	for deadline := time.Now().Add(10 * time.Second); !stderr.contains("msg=serving"); time.Sleep(10 * time.Millisecond) {
+		must.True(t, time.Now().Before(deadline))
+	}
+	begin := time.Now()
+	for range 2 {
+		must.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+		time.Sleep(50 * time.Millisecond)
+	}
+	must.Eq(t, exitOK, <-ended)
+	must.Greater(t, 2*stopLag, time.Since(begin)) // refusals after the lag have a lag of their own
+}
+
 func TestStandinNeedsAKnownName(t *testing.T) {
 	var stderr bytes.Buffer
 	must.Eq(t, exitUsage, Main([]string{"standin", "printer"}, &stderr, &stderr))
