entry: the end of a stop also ends what began after the last request

What would be seen: between the last request of a stop and the end of the process, a body that is still arriving and an operator's command whose store call hangs are cut without an answer when the time is over.

Cause: the decisions took a stop that was done for one that can't run out of time.

Change: EndStop, which comes when connections are left, always ends the time; the timer does so if the stop is not done or a command is open.

--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -28,7 +28,7 @@
 	if timeout > 0 {
 		left := timeout - min(lastAnswersTime, timeout/2)
 		e.stopEnd = e.now + left
-		e.scheduleAfter(left, e.endStop)
+		e.scheduleAfter(left, e.handleStopEnd)
 	}
 	if e.opts.StopLag == 0 {
 		e.refusingWork = true
@@ -37,10 +37,17 @@
 	e.scheduleAfter(e.opts.StopLag, func() { e.refusingWork = true })
 }
 
+// handleStopEnd ends what is open at the end of a stop's time, if anything is.
+func (e *Entry) handleStopEnd() {
+	if !e.stopped || len(e.openCommands) > 0 {
+		e.endStop()
+	}
+}
+
 // endStop ends every open request and command and refuses new ones. The list of held requests
 // is cleared first: the end of a run of their fingerprint would send them.
 func (e *Entry) endStop() {
-	if e.stopped || e.stopExpired {
+	if e.stopExpired {
 		return
 	}
 	e.handleStop(0)
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -178,6 +178,19 @@
 	must.True(t, c.entries["entry-000"].stopped)
 }
 
+// Failure: a command that comes when a stop is done, and before the process ends, gets no
+// answer if the store gives none.
+func TestOperatorsCommandAfterAStopIsDoneEndsWithItsTime(t *testing.T) {
+	c := newSettledCluster(t, 4, "a")
+	c.stepEntry("entry-000", Stop{Timeout: stopTimeout})
+	c.advance(time.Second)
+	must.True(t, c.entries["entry-000"].stopped)
+	c.storeLatency = time.Minute
+	answer := c.startOperation("entry-000", limitEdit(200))
+	c.advance(stopTimeout - lastAnswersTime)
+	must.Eq(t, CommandFailureUnavailable, answer().Failure)
+}
+
 // Failure: operators get no answer to a command that the end of a stop cuts, or a
 // confirmation that may have been written is reported as not carried out.
 func TestOperatorsCommandsEndBeforeTheTimeOfAStop(t *testing.T) {
--- a/internal/instance/stop_test.go
+++ b/internal/instance/stop_test.go
@@ -167,6 +167,21 @@
 	must.Less(t, timeout, took)
 }
 
+// Failure: a request whose body begins to arrive when nothing else is in flight any more
+// is cut without an answer at the end of the stop.
+func TestUploadAfterTheLastRequestOfAStopIsRefused(t *testing.T) {
+	inst, address := startInstanceWithIntent(t, testIntent(), Options{Entry: entry.Options{StopLag: 200 * time.Millisecond}})
+	stopped := make(chan error, 1)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	go func() { stopped <- inst.Stop(ctx) }()
+	<-inst.Node.Stopped()
+	upload := startUpload(t, "http://"+address)
+	defer upload.Close()
+	must.Eq(t, fmt.Sprint(int(result.Stopping)), readResponse(t, bufio.NewReader(upload)).Header.Get(httpapi.HeaderCode))
+	must.ErrorIs(t, <-stopped, context.DeadlineExceeded)
+}
+
 // Failure: a stop closes the connection of an operator whose command is being carried
 // out, so that nobody learns its outcome.
 func TestStopAnswersOperatorsCommandsInProgress(t *testing.T) {
