fleet: a target that asks for quiet gets nothing until its time ends

A target that turns a request away with 503 may add Retry-After: it wants nothing from this instance for so long.

Cause: the header was read nowhere, and a rejection was a failure of the target whatever it said.

The rim passes the header to the decision core as soon as the head of an answer is read, also that of an answer to an order. The core keeps the end of the time by incarnation: it survives an entry that lapses and is listed again, and a restart begins without. Until then the target is no candidate for any send, part of a prompt or trial; a request whose memory was granted meanwhile is placed again; path checks go to other targets. Afterwards the ramp that follows a named limit applies, halved if the target asks again during it. If no target is left, callers are refused at once with the time until the first one takes requests again and a random part; a stream under way waits if its caller does.

Values: zero asks for nothing, negative, malformed and dates are ignored with a log line a minute, enormous ones are bounded by maxQuietPeriod; the latest end of several answers holds.

--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -222,7 +222,7 @@
 // handleNotRun retries the request after the target answered that it did not run
 // it. The failedTarget is the helper that the answer names, or else the target itself: it
 // is marked as gone if another target has its address now; otherwise the failure
-// counts against its health. If a helper in another failure domain failed, a cut may
+// counts against its health, unless the target asked for quiet. If a helper in another failure domain failed, a cut may
 // lie between the two, and the request is placed in the own domain only.
 func (c *Core) handleNotRun(a *activeRequest, ev AttemptEnd) {
 	failedTarget := a.target
@@ -243,7 +243,7 @@
 	if ev.Outcome == OutcomeMisdirected {
 		c.setGone(failedTarget)
 		c.log("target-gone", "target", failedTarget.ID, "why", "address-reused")
-	} else {
+	} else if failedTarget != a.target || a.quietAttempt != ev.Attempt {
 		failedTarget.health.recordFailure(c.now, 1, failedTarget != a.target)
 	}
 	c.removeAttemptLoads(a)
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -39,6 +39,7 @@
 	config           *Config
 	targets          map[string]*targetState
 	targetsByService map[string][]*targetState // ordered by id
+	quiets           map[incarnation]*targetQuiet
 	store            storeState
 
 	requests      map[RequestID]*activeRequest
@@ -75,6 +76,7 @@
 		opts: opts, rng: rand.New(rand.NewPCG(opts.Seed, 0)),
 		targets: make(map[string]*targetState), targetsByService: make(map[string][]*targetState),
 		requests: make(map[RequestID]*activeRequest), attempts: make(map[AttemptID]*activeRequest),
+		quiets:     make(map[incarnation]*targetQuiet),
 		roundRobin: make(map[string]int), peers: make(map[string]*peer),
 		retryBudgets: make(map[string]*retryBudget), culprits: quarantine.NewCulprits(), announcedVerdicts: make(map[quarantine.Fingerprint]bool), domains: make(map[string]*domainHealth),
 		targetChecks: make(map[incarnation]*targetCheck), demands: make(map[string]*demand), paths: make(map[string]*targetPath), firstEventRatios: make(map[string]float64),
@@ -125,6 +127,8 @@
 		c.handleReserved(ev)
 	case TargetChecked:
 		c.handleTargetChecked(ev)
+	case QuietRequested:
+		c.handleQuietRequested(ev)
 	case PeerGossip:
 		c.handlePeerGossip(ev)
 	case Stop:
--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -60,6 +60,19 @@
 	return rate
 }
 
+// untilToken is the time from now until this instance's bucket holds a token, if nothing
+// is sent meanwhile. After the end of a limit it is at most limitRampTime.
+func (l *targetLimit) untilToken(now time.Duration) time.Duration {
+	rampLeft := max(0, l.endedAt+limitRampTime-now)
+	if l.sharers == 0 {
+		return rampLeft
+	}
+	share := l.rate(now) / float64(l.sharers)
+	missing := max(0, 1-l.tokens)
+	seconds := math.Log2(1 + missing*math.Ln2/share) // the share doubles each second
+	return min(rampLeft, time.Duration(seconds*float64(time.Second)))
+}
+
 // recordLimit records what the answer to the current attempt says of its target's
 // limit. A limit ends by an answer to a request that was sent after the last answer
 // that named it.
@@ -97,7 +110,7 @@
 	if l.perSecond == report.PerSecond && l.ended == report.Ended {
 		return false
 	}
-	c.refillTokens(target)
+	c.refillTokens(target, l)
 	c.log("target-limit", "target", target.ID, "per_second", report.PerSecond, "former", l.perSecond, "ended", report.Ended)
 	c.incrementCounter("target_limits", target.Service)
 	l.perSecond, l.ended, l.endedAt, l.dividedAt = report.PerSecond, report.Ended, statedAt, -shareInterval
@@ -125,7 +138,7 @@
 	if target.limit == nil {
 		return true
 	}
-	c.refillTokens(target)
+	c.refillTokens(target, target.limit)
 	return target.limit.tokens >= 1
 }
 
@@ -134,14 +147,21 @@
 	if target.limit != nil {
 		target.limit.tokens--
 	}
+	if target.quiet != nil {
+		target.quiet.ramp.tokens--
+	}
 }
 
-// refillTokens adds the tokens of this instance's share since the last call.
-func (c *Core) refillTokens(target *targetState) {
-	l := target.limit
+// divideLimit determines this instance's share of a limit of a target from time to time.
+func (c *Core) divideLimit(target *targetState, l *targetLimit) {
 	if c.now-l.dividedAt >= shareInterval {
-		l.sharers, l.dividedAt = c.limitSharers(target), c.now
+		l.sharers, l.dividedAt = c.limitSharers(target, l), c.now
 	}
+}
+
+// refillTokens adds the tokens of this instance's share of a limit since the last call.
+func (c *Core) refillTokens(target *targetState, l *targetLimit) {
+	c.divideLimit(target, l)
 	elapsed := c.now - l.refilledAt
 	l.refilledAt = c.now
 	if l.sharers == 0 {
@@ -157,8 +177,8 @@
 // saved up for one request each, they could send them all at once. All instances that
 // hear of each other agree on the sharers, which are among those that know the loads
 // at the target.
-func (c *Core) limitSharers(target *targetState) int {
-	maxSharers := int(min(target.limit.rate(c.now), 1<<20)) + spareSharers
+func (c *Core) limitSharers(target *targetState, l *targetLimit) int {
+	maxSharers := int(min(l.rate(max(c.now, l.endedAt)), 1<<20)) + spareSharers
 	sharers, ahead, included := c.rankForTarget(target, func(domain string) bool { return c.followsLoads(domain, target) })
 	if sharers == 0 { // none of the domains that know the loads has an instance left
 		sharers, ahead, included = c.rankForTarget(target, func(string) bool { return true })
@@ -192,16 +212,16 @@
 
 // retryAfterNoTarget is the Retry-After of a request for which there is no target now.
 // If the limits of targets are the reason, it is the time in which all instances
-// together may send them a request.
+// together may send them a request. See also retryAfterQuiet.
 func (c *Core) retryAfterNoTarget(a *activeRequest) time.Duration {
 	rate := 0.0
 	for _, target := range c.serviceTargets(a.service) {
-		if target.limit != nil && !target.gone && !target.leaving {
+		if target.limit != nil && !target.gone && !target.leaving && !c.wantsQuiet(target) {
 			rate += target.limit.rate(c.now)
 		}
 	}
 	if rate == 0 {
-		return noTargetRetryAfter
+		return c.retryAfterQuiet(a, noTargetRetryAfter)
 	}
 	return min(maxRetryAfter, max(minRetryAfter, time.Duration(float64(time.Second)/rate)))
 }
--- a/internal/fleet/placement.go
+++ b/internal/fleet/placement.go
@@ -123,7 +123,7 @@
 	domain := c.gossipDomain()
 	for _, target := range c.serviceTargets(a.service) {
 		switch {
-		case target.gone || target.leaving || !c.limitAllows(target):
+		case target.gone || target.leaving || !c.limitAllows(target) || !c.quietAllows(target):
 		case !c.isUsable(a, target):
 			avoided = append(avoided, target)
 		case !c.followsLoads(domain, target):
@@ -316,7 +316,7 @@
 
 // cheapestHelpers returns up to count targets at which a part of the prompt costs
 // least, in ascending order of the cost; none for a prompt of one part. A part is a
-// request to its target: those with a limit are left to whole requests.
+// request to its target: those with a limit or a ramp are left to whole requests.
 func (c *Core) cheapestHelpers(input *placementInput, count int, partPrefill prefill, memory int) []*candidate {
 	if count == 1 {
 		return nil
@@ -328,7 +328,7 @@
 	var options []helperOption
 	for i := range input.candidates {
 		cand := &input.candidates[i]
-		if cand.limit != nil || cand.state.helperParts >= cand.Slots || !cand.hasRoom(input.engine, partPrefill, memory) {
+		if cand.limit != nil || cand.quiet != nil || cand.state.helperParts >= cand.Slots || !cand.hasRoom(input.engine, partPrefill, memory) {
 			continue
 		}
 		harm := c.pauseHarm(input.engine, cand, partPrefill, true, 0) + delayHarm([]*candidate{cand}, partPrefill.remainingMS)
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -76,6 +76,7 @@
 	if known == nil {
 		c.markAddressReused(t)
 		target := &targetState{Target: t, advancedAt: c.now, leaving: t.State == Draining, gone: c.isReplaced(t)}
+		target.quiet = c.quiets[t.incarnation()]
 		c.targets[t.ID] = target
 		c.addTarget(target)
 		c.checkNewTarget(target)
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -82,6 +82,8 @@
 	lastEnd               AttemptEnd
 	hasFailureAnswer      bool // the last attempt ended with a failure answer that may be forwarded
 
+	quietAttempt AttemptID // attempt whose target answered that it wants quiet, 0 for none
+
 	relayedBy string // name of the peer that serves the current attempt, empty for none
 	relays    int    // peers to which the request was sent
 
@@ -171,7 +173,7 @@
 	}
 	p := c.choosePlacement(a)
 	switch {
-	case p.primary == nil && c.canWaitForRoom(a):
+	case p.primary == nil && (c.canWaitForRoom(a) || c.canWaitForQuiet(a)):
 		c.dispatchLater(a)
 	case p.primary != nil && c.shouldWait(a, p):
 		c.dispatchLater(a)
@@ -356,11 +358,11 @@
 	case a.attemptsRun > 0 && !a.arrival.Route.Retryable(),
 		a.attemptsRun >= a.maxAttempts(),
 		a.attemptsNotRun > maxAttemptsNotRun && c.relayPeer(a) == "":
-		c.refuseOrFail(a, result.TargetsRefused, minRetryAfter)
+		c.refuseOrFail(a, result.TargetsRefused, c.retryAfterQuiet(a, minRetryAfter))
 	case c.isBlocked(a):
 		c.refuseOrFail(a, result.Quarantined, quarantineRetryAfter)
 	case (a.arrivedAtTarget || a.attemptsRun > 0) && !c.takeRetry(a.service):
-		c.refuseOrFail(a, result.RetryBudget, minRetryAfter)
+		c.refuseOrFail(a, result.RetryBudget, c.retryAfterQuiet(a, minRetryAfter))
 	default:
 		c.incrementCounter("retries", reason)
 		c.dispatch(a)
--- a/internal/fleet/reserve.go
+++ b/internal/fleet/reserve.go
@@ -81,6 +81,10 @@
 		c.refuseOrFail(a, result.Quarantined, quarantineRetryAfter)
 		return
 	}
+	if !res.denied && c.anyWantsQuiet(&res.placement) {
+		res.denied = true
+		c.log("reserve-denied", "request", a.arrival.ID, "cause", "a target wants quiet since")
+	}
 	if !res.denied {
 		res.granted = true
 		c.sendAttempt(a, res.placement, res.tickets)
--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -55,12 +55,15 @@
 type targetState struct {
 	Target
 	limit       *targetLimit // nil while it names none
+	quiet       *targetQuiet // nil unless it wants quiet, or did until limitRampTime ago
 	gone        bool         // no longer listed
 	leaving     bool         // draining, by the platform's list or a peer's report
 	loads       []*trackedLoad
 	advancedAt  time.Duration // time up to which prefill progress is predicted
 	lastHeardAt time.Duration // when it last sent anything, here or to a peer
 	health      health
+	// nextUnreadableQuietLog is when an unreadable QuietRequest is logged again.
+	nextUnreadableQuietLog time.Duration
 	// guest is the result of guestDomain as of guestEpoch.
 	guest      string
 	guestEpoch int
--- a/internal/fleet/target_path.go
+++ b/internal/fleet/target_path.go
@@ -160,6 +160,9 @@
 // pathCheckTargets draws the targets to check, those that have not failed first.
 func (c *Core) pathCheckTargets(path *targetPath) []*targetState {
 	pool := c.listedTargets(path.service)
+	if others := selectFunc(pool, func(target *targetState) bool { return !c.wantsQuiet(target) }); len(others) > 0 {
+		pool = others
+	}
 	c.rng.Shuffle(len(pool), func(i, j int) { pool[i], pool[j] = pool[j], pool[i] })
 	hasFailed := func(target *targetState) bool {
 		_, ok := path.failed[target.ID]
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -159,6 +159,9 @@
 		return brokenAttempt(err), nil
 	}
 	x.limit = metadata.Limit
+	if send.Relay.Address == "" {
+		x.node.reportQuiet(send.Target, send.Attempt, metadata.Quiet)
+	}
 	switch {
 	case isPeerError(send, resp.Header, metadata.Signed):
 		return readPeerError(c, resp), resp
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -43,6 +43,7 @@
 	// none is named.
 	FailedAddress string
 	Limit         fleet.Limit
+	Quiet         fleet.QuietRequest
 }
 
 // HeaderCodec reads and writes the platform's HTTP headers.
@@ -59,7 +60,8 @@
 	SetRequestID(h http.Header, id string)
 }
 
-// MemoryReserver reserves and releases memory of targets.
+// MemoryReserver reserves and releases memory of targets. If a target refuses that, the
+// error is an OrderRefusedError.
 type MemoryReserver interface {
 	Reserve(ctx context.Context, r fleet.Reserve) error
 	Release(ctx context.Context, r fleet.Release) error
@@ -251,6 +253,7 @@
 // decision core.
 func (n *Node) reserveMemory(r fleet.Reserve) {
 	err := n.opts.MemoryReserver.Reserve(n.ctx, r)
+	n.reportRefusedOrder(r.Target, err)
 	reply := fleet.Reserved{Request: r.Request, Target: r.Target.ID, Granted: err == nil}
 	if err != nil {
 		reply.Cause = err.Error()
@@ -262,6 +265,7 @@
 // memory is freed at the end of its hold time.
 func (n *Node) releaseMemory(r fleet.Release) {
 	if err := n.opts.MemoryReserver.Release(n.ctx, r); err != nil {
+		n.reportRefusedOrder(r.Target, err)
 		n.opts.Log.Info("release-failed", "target", r.Target.ID, "ticket", r.Ticket, "cause", err.Error())
 	}
 }
--- /dev/null
+++ b/internal/forward/quiet_test.go
@@ -0,0 +1,51 @@
+package forward
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr/funcr"
+	"github.com/shoenig/test/must"
+
+	"github.com/medlardeck/medlardeck/internal/fleet"
+)
+
+type discardMetrics struct{}
+
+func (discardMetrics) Add(string, string)                    {}
+func (discardMetrics) Observe(string, string, time.Duration) {}
+
+// refusingReserver is a MemoryReserver whose targets want quiet.
+type refusingReserver struct{}
+
+func (refusingReserver) Reserve(_ context.Context, r fleet.Reserve) error {
+	return &OrderRefusedError{Op: "reserve", Target: r.Target.ID, Status: 503, Quiet: fleet.QuietRequest{Period: time.Second}}
+}
+
+func (refusingReserver) Release(_ context.Context, r fleet.Release) error {
+	return &OrderRefusedError{Op: "release", Target: r.Target.ID, Status: 503, Quiet: fleet.QuietRequest{Period: 3 * time.Second}}
+}
+
+// newQuietNode returns a node without targets and the log events that it writes.
+func newQuietNode(t *testing.T) (*Node, <-chan string) {
+	t.Helper()
+	events := make(chan string, 100)
+	n := NewNode(Options{
+		Fleet:          fleet.Options{Name: "front-1", RetryWindow: 10 * time.Second, ReservationTTL: time.Second},
+		MemoryReserver: refusingReserver{}, Metrics: discardMetrics{},
+		Log: funcr.New(func(_, line string) { events <- line }, funcr.Options{}),
+	})
+	t.Cleanup(n.Close)
+	return n, events
+}
+
+// A refused order told the decision core nothing of the target's wish.
+func TestRefusedOrderReachesTheDecisionCore(t *testing.T) {
+	n, events := newQuietNode(t)
+	target := fleet.Target{ID: "t0"}
+	n.reserveMemory(fleet.Reserve{Target: target})
+	must.StrContains(t, <-events, "target-quiet")
+	n.releaseMemory(fleet.Release{Target: target})
+	must.StrContains(t, <-events, "target-quiet")
+}
