fleet: requests not yet written to a target that asks for quiet are recalled

Cause: the decision to send and the write are two steps with a connection between them, which a starved or frozen process makes long. The new effect Recall ends an attempt that has not been written; one that has is not touched. Such an attempt counts as none and takes nothing from the retry budget, since nothing has arrived.

--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -200,6 +200,8 @@
 		if !wait {
 			c.retryOrFail(a, "broken")
 		}
+	case OutcomeRecalled:
+		c.handleRecalled(a)
 	case OutcomeCallerGone:
 		c.removeAttemptLoads(a)
 		a.attemptsRun++
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -139,9 +139,11 @@
 	OutcomeBroken
 	// OutcomeCallerGone means that the caller's connection failed during the attempt.
 	OutcomeCallerGone
+	// OutcomeRecalled means that nothing was sent because of Recall.
+	OutcomeRecalled
 )
 
-var outcomeNames = [...]string{"complete", "failed", "not-connected", "not-run", "misdirected", "broken", "caller-gone"}
+var outcomeNames = [...]string{"complete", "failed", "not-connected", "not-run", "misdirected", "broken", "caller-gone", "recalled"}
 
 func (o AttemptOutcome) String() string { return outcomeNames[o] }
 
@@ -250,6 +252,10 @@
 // Cancel aborts an attempt; later events of the attempt are ignored.
 type Cancel struct{ Attempt AttemptID }
 
+// Recall ends an attempt with OutcomeRecalled if none of the request has been written yet,
+// and has no effect otherwise.
+type Recall struct{ Attempt AttemptID }
+
 // Finish ends a request. There is exactly one for each RequestArrived.
 type Finish struct {
 	Request RequestID
@@ -323,6 +329,7 @@
 
 func (Send) fleetEffect()        {}
 func (Cancel) fleetEffect()      {}
+func (Recall) fleetEffect()      {}
 func (Finish) fleetEffect()      {}
 func (Reserve) fleetEffect()     {}
 func (Release) fleetEffect()     {}
--- a/internal/fleet/harness_test.go
+++ b/internal/fleet/harness_test.go
@@ -19,6 +19,7 @@
 	sends         []Send
 	finishes      map[RequestID]Finish
 	cancels       []AttemptID
+	recalls       []AttemptID
 	gossips       []SendGossip
 	reserves      []Reserve
 	releases      []Release
@@ -76,6 +77,8 @@
 			h.finishes[eff.Request] = eff
 		case Cancel:
 			h.cancels = append(h.cancels, eff.Attempt)
+		case Recall:
+			h.recalls = append(h.recalls, eff.Attempt)
 		case SendGossip:
 			h.gossips = append(h.gossips, eff)
 		case Reserve:
--- a/internal/fleet/quiet.go
+++ b/internal/fleet/quiet.go
@@ -85,6 +85,7 @@
 		q.begunAt = c.now
 		c.incrementCounter("target_quiet", "begun")
 		c.afterFunc(until-c.now, func() { c.endQuiet(q) })
+		c.recallUnsent(ev)
 	} else {
 		c.incrementCounter("target_quiet", "repeated")
 	}
@@ -95,6 +96,29 @@
 	}
 }
 
+// recallUnsent recalls the attempts that may not have been written yet and would reach a
+// target that wants quiet, whole or as parts of their prompts.
+func (c *Core) recallUnsent(ev QuietRequested) {
+	reaches := func(placed placedLoad) bool { return placed.target.incarnation() == ev.Target.incarnation() }
+	var recalled []AttemptID
+	for id, a := range c.attempts {
+		if id != ev.Attempt && !a.attemptDeliveredEvent && slices.ContainsFunc(a.loads, reaches) {
+			recalled = append(recalled, id)
+		}
+	}
+	slices.Sort(recalled)
+	for _, id := range recalled {
+		c.emit(Recall{id})
+	}
+}
+
+// handleRecalled places a request again that was not written. It has reached no target, so
+// this is no retry.
+func (c *Core) handleRecalled(a *activeRequest) {
+	c.removeAttemptLoads(a)
+	c.dispatch(a)
+}
+
 // newQuiet adds a target to those that want quiet.
 func (c *Core) newQuiet(t Target) *targetQuiet {
 	q := &targetQuiet{target: t, ramp: &targetLimit{
--- a/internal/fleet/quiet_test.go
+++ b/internal/fleet/quiet_test.go
@@ -400,3 +400,45 @@
 	h.now += 10 * time.Second // no timer runs in between
 	must.Eq(t, 1, h.sendCount(h.submit(routeIdempotent, 0)))
 }
+
+// Requests that were chosen for a target and not yet written reached it in its quiet
+// time. They go elsewhere, and lose neither attempts nor retries.
+func TestUnsentRequestsAreRecalled(t *testing.T) {
+	h := newHarness(t, 0)
+	byTarget := make(map[string][]RequestID)
+	for range 9 {
+		id := h.submit(routeNonIdempotent, 0)
+		byTarget[h.lastSend(id).Target.ID] = append(byTarget[h.lastSend(id).Target.ID], id)
+	}
+	ids := byTarget["app-00"]
+	must.SliceLen(t, 3, ids)
+	_, before := h.core.currentRetryBudget("app").totals()
+	h.askQuiet("app-00", h.lastSend(ids[0]).Attempt, time.Second)
+	must.Eq(t, []AttemptID{h.lastSend(ids[1]).Attempt, h.lastSend(ids[2]).Attempt}, h.recalls)
+	h.askQuiet("app-00", h.lastSend(ids[0]).Attempt, 2*time.Second)
+	must.SliceLen(t, 2, h.recalls)
+	h.step(AttemptEnd{Attempt: h.lastSend(ids[1]).Attempt, Outcome: OutcomeRecalled})
+	must.Eq(t, 2, h.sendCount(ids[1]))
+	must.NotEq(t, "app-00", h.lastSend(ids[1]).Target.ID)
+	must.Eq(t, 0, h.core.requests[ids[1]].attemptsNotRun+h.core.requests[ids[1]].attemptsRun)
+	_, after := h.core.currentRetryBudget("app").totals()
+	must.Eq(t, before, after)
+	must.Eq(t, health{}, h.core.targets["app-00"].health)
+	h.step(AttemptEnd{Attempt: h.lastSend(ids[2]).Attempt, Outcome: OutcomeComplete}) // had been written
+	must.Eq(t, result.Complete, h.finishes[ids[2]].Code)
+}
+
+// Prompts with a part at the target are recalled, streams under way are not.
+func TestPromptsWithAPartAtATargetThatWantsQuietAreRecalled(t *testing.T) {
+	h := newHarness(t, 16)
+	long, stream := h.submit(routeLong, 130_000), h.submit(routeLong, 130_000)
+	for _, id := range []RequestID{long, stream} {
+		must.SliceNotEmpty(t, h.lastSend(id).Helpers)
+	}
+	h.step(Progress{Attempt: h.lastSend(stream).Attempt, EventID: "1"})
+	h.silence("pool", time.Second)
+	for _, attempt := range h.recalls {
+		must.Eq(t, h.lastSend(long).Attempt, attempt)
+	}
+	must.SliceNotEmpty(t, h.recalls)
+}
--- /dev/null
+++ b/internal/fleet/quiet_world_test.go
@@ -0,0 +1,155 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/medlardeck/medlardeck/internal/result"
+)
+
+// quietSlack is the time after an answer in which further requests of the instance that
+// got it may reach the target. maxLateArrivals is how many may come later.
+const (
+	quietSlack      = 500 * time.Millisecond
+	maxLateArrivals = 2
+)
+
+// askForQuiet answers a run that its target turns away, and reports whether it does so.
+func (run *worldRun) askForQuiet() bool {
+	if run.target.turnAway == nil {
+		return false
+	}
+	period := run.target.turnAway(run)
+	if period == 0 {
+		return false
+	}
+	in, target := run.instance, run.target
+	in.world.after(worldHop, func() {
+		in.step(QuietRequested{Target: target.Target, Attempt: run.attempt, Quiet: QuietRequest{Period: period}})
+	})
+	run.report(OutcomeNotRun)
+	return true
+}
+
+// quietSpan is a time in which a target wants no requests from an instance.
+type quietSpan struct {
+	target      *worldTarget
+	instance    string
+	from, until time.Duration
+}
+
+// turnAwayWhen lets a target turn requests away while the condition holds, and records
+// the times that it asks for in the list.
+func (w *fleetWorld) turnAwayWhen(target *worldTarget, spans *[]quietSpan, condition func() bool, period func() time.Duration) {
+	target.turnAway = func(run *worldRun) time.Duration {
+		if !condition() {
+			return 0
+		}
+		p := period()
+		*spans = append(*spans, quietSpan{target, run.instance.name, w.now, w.now + p})
+		return p
+	}
+}
+
+// randomPeriod returns a time between a half and three seconds.
+func (w *fleetWorld) randomPeriod() time.Duration {
+	return 500*time.Millisecond + time.Duration(w.rng.Int64N(int64(2500*time.Millisecond)))
+}
+
+// during returns a condition that holds between two times.
+func (w *fleetWorld) during(from, to time.Duration) func() bool {
+	return func() bool { return w.now >= from && w.now < to }
+}
+
+// checkQuiet checks that in each of the times at most maxLateArrivals requests and parts
+// of the instance reached the target later than quietSlack after the answer.
+func (w *fleetWorld) checkQuiet(seed uint64, spans []quietSpan) {
+	w.t.Helper()
+	must.SliceNotEmpty(w.t, spans)
+	for _, span := range spans {
+		late := 0
+		for i, at := range span.target.arrivals {
+			if span.target.arrivedFrom[i] == span.instance && at > span.from+quietSlack && at < span.until {
+				late++
+			}
+		}
+		must.LessEq(w.t, maxLateArrivals, late, must.Sprintf("seed %d: %s at %s, asked at %v until %v", seed, span.instance, span.target.ID, span.from, span.until))
+	}
+}
+
+// One target turns all instances away for a while, with times that overlap and come out
+// of order: each instance keeps away, and the requests go to the other targets.
+func TestQuietOfOneTargetHoldsAtAllInstances(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(6) {
+		w := newFleetWorld(t, 1500+seed, 6, 9)
+		var spans []quietSpan
+		w.turnAwayWhen(w.targets[0], &spans, w.during(5*time.Second, 20*time.Second), w.randomPeriod)
+		w.sendSoundRequests(40, 30*time.Second)
+		w.runUntil(34 * time.Second)
+		w.checkQuiet(seed, spans)
+		for _, r := range w.requests {
+			must.Eq(t, "complete", r.finish.Code.String(), must.Sprintf("seed %d", seed))
+		}
+		must.GreaterEq(t, 1, w.arrivalRate(0, 28*time.Second, 30*time.Second), must.Sprintf("seed %d: not used again", seed))
+	}
+}
+
+// Instances freeze while a target wants quiet, and one needs long until it writes a
+// request: requests that were on their way reached the target late in the quiet time.
+func TestQuietHoldsAtFrozenAndSlowInstances(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(4) {
+		w := newFleetWorld(t, 1600+seed, 6, 6)
+		var spans []quietSpan
+		for _, target := range w.targets[:2] {
+			w.turnAwayWhen(target, &spans, w.during(5*time.Second, 20*time.Second), w.randomPeriod)
+		}
+		w.instances[3].sendDelay = 900 * time.Millisecond
+		for i := range 12 {
+			w.after(5*time.Second+time.Duration(i)*1200*time.Millisecond, func() {
+				w.instances[i%3].frozenUntil = w.now + 800*time.Millisecond
+			})
+		}
+		w.sendSoundRequests(45, 22*time.Second)
+		w.runUntil(25 * time.Second)
+		w.checkQuiet(seed, spans)
+	}
+}
+
+// All targets of a service want quiet whenever more requests come than they bear: callers
+// are refused at once, and the use that begins again makes hardly any target ask again.
+func TestQuietOfAllTargetsRefusesAndRampsUp(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(4) {
+		w := newFleetWorld(t, 1700+seed, 6, 4)
+		var spans []quietSpan
+		for _, target := range w.targets {
+			overloaded := func() bool {
+				return w.now >= 5*time.Second && w.now < 6*time.Second || len(target.runs) > target.Slots
+			}
+			w.turnAwayWhen(target, &spans, overloaded, func() time.Duration { return 2 * time.Second })
+		}
+		w.sendSoundRequests(30, 30*time.Second)
+		w.runUntil(32 * time.Second)
+		w.checkQuiet(seed, spans)
+		refused, after := 0, 0
+		for _, r := range w.requests {
+			if r.sentAt >= 5*time.Second && r.sentAt < 7*time.Second && r.finish.Code.Family() == result.FamilyRefused {
+				refused++
+				must.LessEq(t, r.sentAt+time.Second, r.endedAt, must.Sprintf("seed %d: %s", seed, r.finish.Code))
+				must.Greater(t, 0, r.finish.RetryAfter)
+			}
+		}
+		for _, span := range spans {
+			if span.from > 6*time.Second {
+				after++
+			}
+		}
+		must.Greater(t, 20, refused)
+		must.Eq(t, 0, after, must.Sprintf("seed %d", seed))
+		must.GreaterEq(t, 0.9, w.beganShare(20*time.Second, 29*time.Second, func(*worldRequest) bool { return true }), must.Sprintf("seed %d", seed))
+	}
+}
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -61,6 +61,10 @@
 	// cutOff says that there is no path to any target. Connections hang, or are refused
 	// if refusing is set.
 	cutOff, refusing bool
+	// frozenUntil is the time until which all events wait.
+	frozenUntil time.Duration
+	// sendDelay is the time from the decision to send until the request is written.
+	sendDelay time.Duration
 }
 
 type worldTarget struct {
@@ -70,6 +74,10 @@
 	runs         []*worldRun
 	limit        Limit           // named in answers
 	arrivals     []time.Duration // of requests and of helpers' parts
+	arrivedFrom  []string        // the instances that sent them
+	// turnAway returns the time in which the target wants no further requests instead of
+	// running this one, or zero; nil for targets that run all.
+	turnAway func(*worldRun) time.Duration
 }
 
 type worldRequest struct {
@@ -90,6 +98,7 @@
 	request  *worldRequest
 	target   *worldTarget
 	helpers  []*worldTarget
+	arrived  bool
 	ended    bool
 }
 
@@ -146,7 +155,8 @@
 // startTarget starts a target again as another incarnation at the same address.
 func (w *fleetWorld) startTarget(target *worldTarget) {
 	target.starts++
-	target.down, target.runs, target.arrivals, target.limit = false, nil, nil, Limit{Statement: LimitNone}
+	target.down, target.runs, target.limit = false, nil, Limit{Statement: LimitNone}
+	target.arrivals, target.arrivedFrom = nil, nil
 	target.Target = Target{
 		ID: fmt.Sprintf("t%d-%d", target.slot, target.starts), Service: "pool", Address: fmt.Sprintf("10.0.0.%d:1", target.slot),
 		FailureDomain: w.domain(target.slot), Slots: 16, StartedMS: w.now.Milliseconds() + 1,
@@ -175,6 +185,10 @@
 	if in.down {
 		return
 	}
+	if in.frozenUntil > in.world.now {
+		in.world.after(in.frozenUntil-in.world.now, func() { in.step(ev) })
+		return
+	}
 	for _, eff := range in.core.Step(in.world.now, ev) {
 		in.execute(eff)
 	}
@@ -201,6 +215,10 @@
 		if relay := in.relays[eff.Attempt]; relay != nil {
 			relay.leave()
 		}
+	case Recall:
+		if run := in.runs[eff.Attempt]; run != nil && !run.arrived && !run.ended {
+			run.report(OutcomeRecalled)
+		}
 	case Finish:
 		r := in.requests[eff.Request]
 		r.finish, r.endedAt = &eff, w.now
@@ -282,7 +300,7 @@
 		run.helpers = append(run.helpers, w.target(Target{ID: h.Target}))
 	}
 	in.runs[s.Attempt] = run
-	w.after(w.connectTime(in)-worldHop, func() { run.arrive() })
+	w.after(w.connectTime(in)-worldHop+in.sendDelay, func() { run.arrive() })
 }
 
 // connectTime is the time until an instance knows whether it is connected to a target.
@@ -303,7 +321,7 @@
 func (run *worldRun) report(outcome AttemptOutcome) {
 	run.end()
 	var limit Limit
-	if outcome != OutcomeNotConnected && outcome != OutcomeBroken {
+	if outcome != OutcomeNotConnected && outcome != OutcomeRecalled && outcome != OutcomeBroken {
 		limit = run.target.limit
 	}
 	run.instance.world.after(worldHop, func() {
@@ -321,6 +339,7 @@
 		run.report(OutcomeNotConnected)
 		return
 	}
+	run.arrived = true
 	run.instance.step(Connected{run.target.ID})
 	for _, part := range run.request.parts {
 		w.reached[part] = append(w.reached[part], w.now)
@@ -329,8 +348,12 @@
 	for _, target := range append(run.helpers, run.target) {
 		if target != nil {
 			target.arrivals = append(target.arrivals, w.now)
+			target.arrivedFrom = append(target.arrivedFrom, run.instance.name)
 		}
 	}
+	if run.askForQuiet() {
+		return
+	}
 	if w.rejects > 0 && w.rng.Float64() < w.rejects {
 		run.report(OutcomeNotRun)
 		return
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -52,16 +52,27 @@
 	return fleet.AttemptEnd{Outcome: fleet.OutcomeBroken, Cause: cause.Error()}
 }
 
+// unsentAttempt returns the end of an attempt that is no longer wanted.
+func unsentAttempt(cause error) fleet.AttemptEnd {
+	if errors.Is(cause, errRecalled) {
+		return fleet.AttemptEnd{Outcome: fleet.OutcomeRecalled, Cause: cause.Error()}
+	}
+	return brokenAttempt(cause)
+}
+
 // runAttempt sends the request to a target and relays or buffers the response.
 func (x *exchange) runAttempt(send fleet.Send) fleet.AttemptEnd {
 	x.buffered, x.limit = nil, fleet.Limit{}
+	if err := x.checkWanted(send.Attempt); err != nil {
+		return unsentAttempt(err)
+	}
 	c, err := x.connect(send)
 	if err != nil {
 		return fleet.AttemptEnd{Outcome: fleet.OutcomeNotConnected, Cause: err.Error()}
 	}
-	if !x.registerConn(send.Attempt, c) {
+	if err := x.registerConn(send.Attempt, c); err != nil {
 		_ = c.Close()
-		return brokenAttempt(errors.New("cancelled"))
+		return unsentAttempt(err)
 	}
 	defer x.clearConn()
 	timeLeft := send.Deadline - x.node.clock.now()
@@ -259,7 +270,7 @@
 			return x.endStream(resp, err, len(event) > 0 || events == 0 && endsByClose(resp))
 		}
 		if x.isCancelled(send.Attempt) {
-			return brokenAttempt(errors.New("cancelled"))
+			return brokenAttempt(errCancelled)
 		}
 		id := eventID(event)
 		if id != "" && alreadySent(id, x.lastEventID) {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -35,6 +36,7 @@
 	currentAttempt fleet.AttemptID
 	conn           *conn           // connection of the current attempt, nil between attempts
 	lastCancelled  fleet.AttemptID // attempts up to this ID are cancelled
+	recalled       fleet.AttemptID // attempt that is not to be written
 
 	limit       fleet.Limit       // as the answer to the current attempt names it
 	headWritten bool              // status and headers were written to the caller
@@ -76,16 +78,46 @@
 	}
 }
 
+// recallAttempt keeps an attempt from being written, unless registerConn has been
+// called for it.
+func (x *exchange) recallAttempt(id fleet.AttemptID) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.recalled = id
+}
+
+var (
+	errCancelled = errors.New("cancelled")
+	errRecalled  = errors.New("recalled")
+)
+
+// checkWanted returns an error if the attempt has been cancelled or recalled.
+func (x *exchange) checkWanted(id fleet.AttemptID) error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.checkWantedLocked(id)
+}
+
+func (x *exchange) checkWantedLocked(id fleet.AttemptID) error {
+	switch {
+	case x.lastCancelled >= id:
+		return errCancelled
+	case x.recalled == id:
+		return errRecalled
+	}
+	return nil
+}
+
 // registerConn records the connection of an attempt, so that cancelAttempt can
-// close it. It returns false if the attempt has already been cancelled.
-func (x *exchange) registerConn(id fleet.AttemptID, c *conn) bool {
+// close it. It returns an error if the attempt has already been cancelled or recalled.
+func (x *exchange) registerConn(id fleet.AttemptID, c *conn) error {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.lastCancelled >= id {
-		return false
+	if err := x.checkWantedLocked(id); err != nil {
+		return err
 	}
 	x.currentAttempt, x.conn = id, c
-	return true
+	return nil
 }
 
 func (x *exchange) isCancelled(id fleet.AttemptID) bool {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -225,6 +225,10 @@
 			delete(n.attempts, eff.Attempt)
 			x.cancelAttempt(eff.Attempt)
 		}
+	case fleet.Recall:
+		if x := n.attempts[eff.Attempt]; x != nil {
+			x.recallAttempt(eff.Attempt)
+		}
 	case fleet.Finish:
 		if x := n.exchanges[eff.Request]; x != nil {
 			delete(n.exchanges, eff.Request)
--- a/internal/forward/quiet_test.go
+++ b/internal/forward/quiet_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -49,3 +52,26 @@
 	n.releaseMemory(fleet.Release{Target: target})
 	must.StrContains(t, <-events, "target-quiet")
 }
+
+// An attempt that is recalled before it is written makes no connection, or does not use
+// the one that it has made.
+func TestRecalledAttemptIsNotWritten(t *testing.T) {
+	n, _ := newQuietNode(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	r := httptest.NewRequest(http.MethodGet, "/x", nil)
+	x := newExchange(n, httptest.NewRecorder(), r, RequestMetadata{}, nil, &fleet.Route{})
+	send := fleet.Send{Attempt: 7, Target: fleet.Target{ID: "t0", Address: listener.Addr().String()}, Deadline: time.Hour}
+
+	x.recallAttempt(7)
+	must.Eq(t, fleet.OutcomeRecalled, x.runAttempt(send).Outcome)
+	must.NoError(t, listener.(*net.TCPListener).SetDeadline(time.Now().Add(50*time.Millisecond)))
+	_, err = listener.Accept()
+	must.Error(t, err)
+
+	must.ErrorIs(t, x.registerConn(7, nil), errRecalled)
+	must.NoError(t, x.registerConn(8, nil)) // a later attempt
+	x.recallAttempt(8)
+	must.Eq(t, fleet.AttemptID(8), x.currentAttempt) // its request is being written
+}
