forward: callers get our Retry-After with a target's 503, not the target's

A signed 503 that is passed on kept the target's Retry-After, which is the time that the target wants quiet from this instance: the caller was told 3600 s in TestCallersAreNotToldTheQuietTimeOfATarget and, by way of a peer, in TestCallersOfARelayedRequestAreNotToldTheQuietTimeOfATarget, while other targets served at once.

Such an answer now has the Retry-After of a refusal of this instance, also if the target sent none; status, body and signature stay. A peer's Retry-After is kept, since the peer has chosen it for the caller.

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -264,7 +264,8 @@
 	Code result.Code
 	// ForwardAnswer says that the answer of the last attempt is forwarded to the caller.
 	ForwardAnswer bool
-	// RetryAfter is the delay after which a refused caller should retry.
+	// RetryAfter is the delay after which a refused caller should retry, or the caller of
+	// an answer by which a target refuses it.
 	RetryAfter time.Duration
 }
 
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -374,7 +374,7 @@
 func (c *Core) refuseOrFail(a *activeRequest, refusal result.Code, retryAfter time.Duration) {
 	switch {
 	case a.hasFailureAnswer && !a.anyEventDelivered:
-		c.finishRequest(a, Finish{Code: result.TargetError, ForwardAnswer: true})
+		c.finishRequest(a, Finish{Code: result.TargetError, ForwardAnswer: true, RetryAfter: retryAfter})
 	case a.attemptsRun == 0 && !a.anyEventDelivered:
 		c.finishRequest(a, Finish{Code: refusal, RetryAfter: retryAfter})
 	case !a.arrival.Route.Retryable():
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -172,6 +172,9 @@
 	x.limit = metadata.Limit
 	if send.Relay.Address == "" {
 		x.node.reportQuiet(send.Target, send.Attempt, metadata.Quiet)
+		if resp.StatusCode == http.StatusServiceUnavailable {
+			resp.Header.Del(headerRetryAfter) // it is meant for this instance
+		}
 	}
 	switch {
 	case isPeerError(send, resp.Header, metadata.Signed):
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -171,7 +171,7 @@
 		return
 	}
 	if f.ForwardAnswer && x.buffered != nil {
-		x.writeBuffered(x.buffered)
+		x.writeBuffered(x.buffered, f.RetryAfter)
 		return
 	}
 	x.node.writeError(x.w, x.metadata.ID, httpStatus(f.Code), f)
@@ -200,18 +200,28 @@
 	h := w.Header()
 	n.opts.HeaderCodec.SetRequestID(h, id)
 	h.Set(headerCode, strconv.Itoa(int(f.Code)))
-	if status == http.StatusServiceUnavailable && f.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', 2, 64))
-	}
+	setRetryAfter(h, status, f.RetryAfter)
 	if n.Stopping() {
 		h.Set("Connection", "close")
 	}
 	http.Error(w, f.Code.String(), status)
 }
 
+// headerRetryAfter is the header with the delay after which a refused caller retries.
+const headerRetryAfter = "Retry-After"
+
+// setRetryAfter sets the delay after which the caller of a response retries, if the
+// response allows that and has none.
+func setRetryAfter(h http.Header, status int, delay time.Duration) {
+	if status == http.StatusServiceUnavailable && delay > 0 && h.Get(headerRetryAfter) == "" {
+		h.Set(headerRetryAfter, strconv.FormatFloat(delay.Seconds(), 'f', 2, 64))
+	}
+}
+
 // writeBuffered writes a target's buffered response to the caller.
-func (x *exchange) writeBuffered(resp *bufferedResponse) {
+func (x *exchange) writeBuffered(resp *bufferedResponse, retryAfter time.Duration) {
 	copyEndToEndHeaders(x.w.Header(), resp.header)
+	setRetryAfter(x.w.Header(), resp.status, retryAfter)
 	x.setCloseIfStopping()
 	if x.r.Method != http.MethodHead {
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(resp.body)))
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -50,7 +50,7 @@
 	if code, err := strconv.Atoi(resp.Header.Get(headerCode)); err == nil {
 		end.Refusal = result.Code(code)
 	}
-	if seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil && seconds > 0 && seconds < maxPeerRetryAfter.Seconds() {
+	if seconds, err := strconv.ParseFloat(resp.Header.Get(headerRetryAfter), 64); err == nil && seconds > 0 && seconds < maxPeerRetryAfter.Seconds() {
 		end.RetryAfter = time.Duration(seconds * float64(time.Second))
 	}
 	return end
