fleet: tests of quiet times in a large fleet; no look at targets while none wants quiet

45 instances, of which each knows the loads of two domains only, keep a common end and do not make the target ask again.

Refusals of services without quiet targets no longer list the targets to find that out.

--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -20,8 +20,8 @@
 	limitBurst = 0.25
 	// shareInterval is the time between two divisions of a limit.
 	shareInterval = 200 * time.Millisecond
-	// limitRampTime is the time after the end of a limit in which the requests to the
-	// target double each second, up to its full use.
+	// limitRampTime is the time after the end of a limit, or of a quiet time, in which the
+	// requests to the target double each second, up to its full use.
 	limitRampTime = 5 * time.Second
 )
 
--- a/internal/fleet/quiet.go
+++ b/internal/fleet/quiet.go
@@ -195,6 +195,9 @@
 // gets a request again. ok is false if none wants quiet, all says whether there are no
 // others.
 func (c *Core) nextQuietEnd(service string) (opensIn time.Duration, all, ok bool) {
+	if len(c.quiets) == 0 {
+		return 0, false, false
+	}
 	opensIn, all = math.MaxInt64, true
 	for _, target := range c.listedTargets(service) {
 		if target.quiet == nil {
--- a/internal/fleet/quiet_world_test.go
+++ b/internal/fleet/quiet_world_test.go
@@ -153,3 +153,25 @@
 		must.GreaterEq(t, 0.9, w.beganShare(20*time.Second, 29*time.Second, func(*worldRequest) bool { return true }), must.Sprintf("seed %d", seed))
 	}
 }
+
+// In a large fleet, instances that do not know all loads at a target are asked for the
+// same end: none of them sends before it, and together they do not make it ask again.
+func TestQuietHoldsAtManyInstances(t *testing.T) {
+	t.Parallel()
+	const begin, end = 4 * time.Second, 8 * time.Second
+	w := newFleetWorld(t, 1800, 45, 12)
+	var spans []quietSpan
+	target := w.targets[0]
+	overloaded := func() bool { return w.now >= begin && w.now < end || len(target.runs) > target.Slots }
+	w.turnAwayWhen(target, &spans, overloaded, func() time.Duration { return max(end-w.now, time.Second) })
+	w.sendSoundRequests(125, 18*time.Second)
+	w.runUntil(20 * time.Second)
+	w.checkQuiet(1800, spans)
+	asked := make(map[string]bool)
+	for _, span := range spans {
+		must.Less(t, end, span.from) // none asks again
+		asked[span.instance] = true
+	}
+	must.Greater(t, 10, len(asked))
+	must.GreaterEq(t, 1, w.arrivalRate(0, 14*time.Second, 18*time.Second))
+}
