--- a/internal/fleet/quiet.go
+++ b/internal/fleet/quiet.go
@@ -13,6 +13,9 @@
 	// quietRampSlotShare is the rate of requests from all instances together with which
 	// the target's use begins again, in requests a second for each of its slots.
 	quietRampSlotShare = 0.25
+	// maxQuietRampUse is the share of the target's slots up to which requests are sent
+	// during the ramp: several instances may see the same free slot.
+	maxQuietRampUse = 0.75
 	// maxQuietWait is how long a request waits for a target that gets requests again
 	// soon: a refused caller would not come back earlier.
 	maxQuietWait = minRetryAfter
@@ -80,7 +83,7 @@
 		q.ramp.perSecond = max(minLimit, q.ramp.perSecond/2)
 	}
 	q.answers++
-	q.extend(until)
+	c.extendQuiet(q, until)
 	if begins {
 		q.begunAt = c.now
 		c.incrementCounter("target_quiet", "begun")
@@ -131,10 +134,12 @@
 	return q
 }
 
-// extend moves the end of the time, and with it the begin of the ramp.
-func (q *targetQuiet) extend(until time.Duration) {
+// extendQuiet moves the end of the time, and with it the begin of the ramp. The bucket
+// begins with a random debt: instances that are asked for the same end would otherwise
+// send at the same instants.
+func (c *Core) extendQuiet(q *targetQuiet, until time.Duration) {
 	q.until = max(q.until, until)
-	q.ramp.endedAt, q.ramp.refilledAt, q.ramp.tokens = q.until, q.until, 0
+	q.ramp.endedAt, q.ramp.refilledAt, q.ramp.tokens = q.until, q.until, -c.rng.Float64()
 }
 
 // endQuiet begins the ramp at the end of the time.
@@ -179,7 +184,7 @@
 }
 
 // quietAllows reports whether a request may be sent to a target now: it does not want
-// quiet, and the ramp after that leaves a token.
+// quiet, and the ramp after that leaves a token and a slot.
 func (c *Core) quietAllows(target *targetState) bool {
 	switch {
 	case target.quiet == nil:
@@ -188,7 +193,7 @@
 		return false
 	}
 	c.refillTokens(target, target.quiet.ramp)
-	return target.quiet.ramp.tokens >= 1
+	return target.quiet.ramp.tokens >= 1 && float64(len(target.loads)) < max(1, maxQuietRampUse*float64(target.Slots))
 }
 
 // nextQuietEnd returns the time until the first of a service's targets that want quiet
