--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -43,6 +43,7 @@
 	// none is named.
 	FailedAddress string
 	Limit         fleet.Limit
+	Quiet         fleet.QuietRequest
 }
 
 // HeaderCodec reads and writes the platform's HTTP headers.
@@ -59,7 +60,8 @@
 	SetRequestID(h http.Header, id string)
 }
 
-// MemoryReserver reserves and releases memory of targets.
+// MemoryReserver reserves and releases memory of targets. If a target refuses that, the
+// error is an OrderRefusedError.
 type MemoryReserver interface {
 	Reserve(ctx context.Context, r fleet.Reserve) error
 	Release(ctx context.Context, r fleet.Release) error
@@ -228,6 +230,10 @@
 			delete(n.attempts, eff.Attempt)
 			x.cancelAttempt(eff.Attempt)
 		}
+	case fleet.Recall:
+		if x := n.attempts[eff.Attempt]; x != nil {
+			x.recallAttempt(eff.Attempt)
+		}
 	case fleet.Finish:
 		if x := n.exchanges[eff.Request]; x != nil {
 			delete(n.exchanges, eff.Request)
@@ -256,6 +262,7 @@
 // decision core.
 func (n *Node) reserveMemory(r fleet.Reserve) {
 	err := n.opts.MemoryReserver.Reserve(n.ctx, r)
+	n.reportRefusedOrder(r.Target, err)
 	reply := fleet.Reserved{Request: r.Request, Target: r.Target.ID, Granted: err == nil}
 	if err != nil {
 		reply.Cause = err.Error()
@@ -267,6 +274,7 @@
 // memory is freed at the end of its hold time.
 func (n *Node) releaseMemory(r fleet.Release) {
 	if err := n.opts.MemoryReserver.Release(n.ctx, r); err != nil {
+		n.reportRefusedOrder(r.Target, err)
 		n.opts.Log.Info("release-failed", "target", r.Target.ID, "ticket", r.Ticket, "cause", err.Error())
 	}
 }
