--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -87,6 +87,8 @@
 
 	healthWatched map[string]bool // targets with a pending health timer, by name
 
+	openCommands map[uint64]OperatorCommand // operators' commands without an answer, by id
+
 	pendingStoreCalls map[uint64]func(StoreReply)
 	lastCallID        uint64
 
@@ -108,8 +110,10 @@
 
 	drained      bool // by operators
 	drainedAt    time.Duration
-	stopping     bool // not ready
-	refusingWork bool // since a planned stop, after its lag
+	stopping     bool          // not ready
+	refusingWork bool          // since a planned stop, after its lag
+	stopEnd      time.Duration // when open requests end because of a planned stop; zero for no such time
+	stopExpired  bool
 	stopped      bool
 }
 
@@ -136,6 +140,7 @@
 		suspects:          newSuspectState(opts.Name),
 		pendingGroupCalls: make(map[uint64]func(GroupStatus)),
 		pendingStoreCalls: make(map[uint64]func(StoreReply)),
+		openCommands:      make(map[uint64]OperatorCommand),
 	}
 	e.policy = e.newPolicy(configuration.Serving{})
 	e.orders = e.newOrders()
@@ -180,7 +185,9 @@
 	case AdoptConfiguration:
 		e.handleAdoptConfiguration(ev.Accepted)
 	case Stop:
-		e.handleStop()
+		e.handleStop(ev.Timeout)
+	case EndStop:
+		e.endStop()
 	case Tick:
 	}
 	e.applyClaimVerdicts()
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -139,9 +139,11 @@
 	OutcomeBroken
 	// OutcomeCallerGone means that the caller's connection failed during the attempt.
 	OutcomeCallerGone
+	// OutcomeRecalled means that nothing was sent because of Recall.
+	OutcomeRecalled
 )
 
-var outcomeNames = [...]string{"complete", "failed", "not-connected", "not-run", "misdirected", "broken", "caller-gone"}
+var outcomeNames = [...]string{"complete", "failed", "not-connected", "not-run", "misdirected", "broken", "caller-gone", "recalled"}
 
 func (o AttemptOutcome) String() string { return outcomeNames[o] }
 
@@ -254,6 +256,10 @@
 // Cancel aborts an attempt; later events of the attempt are ignored.
 type Cancel struct{ Attempt AttemptID }
 
+// Recall ends an attempt with OutcomeRecalled if none of the request has been written yet,
+// and has no effect otherwise.
+type Recall struct{ Attempt AttemptID }
+
 // Finish ends a request. There is exactly one for each RequestArrived.
 type Finish struct {
 	Request RequestID
@@ -262,7 +268,8 @@
 	Code result.Code
 	// ForwardAnswer says that the answer of the last attempt is forwarded to the caller.
 	ForwardAnswer bool
-	// RetryAfter is the delay after which a refused caller should retry.
+	// RetryAfter is the delay after which a refused caller should retry, or the caller of
+	// an answer by which a target refuses it.
 	RetryAfter time.Duration
 }
 
@@ -328,6 +335,7 @@
 
 func (Send) fleetEffect()        {}
 func (Cancel) fleetEffect()      {}
+func (Recall) fleetEffect()      {}
 func (Finish) fleetEffect()      {}
 func (Reserve) fleetEffect()     {}
 func (Release) fleetEffect()     {}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -35,6 +36,7 @@
 	currentAttempt fleet.AttemptID
 	conn           *conn           // connection of the current attempt, nil between attempts
 	lastCancelled  fleet.AttemptID // attempts up to this ID are cancelled
+	recalled       fleet.AttemptID // attempt that is not to be written
 
 	limit       fleet.Limit       // as the answer to the current attempt names it
 	headWritten bool              // status and headers were written to the caller
@@ -76,16 +78,46 @@
 	}
 }
 
+// recallAttempt keeps an attempt from being written, unless registerConn has been
+// called for it.
+func (x *exchange) recallAttempt(id fleet.AttemptID) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.recalled = id
+}
+
+var (
+	errCancelled = errors.New("cancelled")
+	errRecalled  = errors.New("recalled")
+)
+
+// checkWanted returns an error if the attempt has been cancelled or recalled.
+func (x *exchange) checkWanted(id fleet.AttemptID) error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.checkWantedLocked(id)
+}
+
+func (x *exchange) checkWantedLocked(id fleet.AttemptID) error {
+	switch {
+	case x.lastCancelled >= id:
+		return errCancelled
+	case x.recalled == id:
+		return errRecalled
+	}
+	return nil
+}
+
 // registerConn records the connection of an attempt, so that cancelAttempt can
-// close it. It returns false if the attempt has already been cancelled.
-func (x *exchange) registerConn(id fleet.AttemptID, c *conn) bool {
+// close it. It returns an error if the attempt has already been cancelled or recalled.
+func (x *exchange) registerConn(id fleet.AttemptID, c *conn) error {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.lastCancelled >= id {
-		return false
+	if err := x.checkWantedLocked(id); err != nil {
+		return err
 	}
 	x.currentAttempt, x.conn = id, c
-	return true
+	return nil
 }
 
 func (x *exchange) isCancelled(id fleet.AttemptID) bool {
@@ -139,7 +171,7 @@
 		return
 	}
 	if f.ForwardAnswer && x.buffered != nil {
-		x.writeBuffered(x.buffered)
+		x.writeBuffered(x.buffered, f.RetryAfter)
 		return
 	}
 	x.node.writeError(x.w, x.metadata.ID, httpStatus(f.Code), f)
@@ -168,18 +200,28 @@
 	h := w.Header()
 	n.opts.HeaderCodec.SetRequestID(h, id)
 	h.Set(headerCode, strconv.Itoa(int(f.Code)))
-	if status == http.StatusServiceUnavailable && f.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', 2, 64))
-	}
+	setRetryAfter(h, status, f.RetryAfter)
 	if n.Stopping() {
 		h.Set("Connection", "close")
 	}
 	http.Error(w, f.Code.String(), status)
 }
 
+// headerRetryAfter is the header with the delay after which a refused caller retries.
+const headerRetryAfter = "Retry-After"
+
+// setRetryAfter sets the delay after which the caller of a response retries, if the
+// response allows that and has none.
+func setRetryAfter(h http.Header, status int, delay time.Duration) {
+	if status == http.StatusServiceUnavailable && delay > 0 && h.Get(headerRetryAfter) == "" {
+		h.Set(headerRetryAfter, strconv.FormatFloat(delay.Seconds(), 'f', 2, 64))
+	}
+}
+
 // writeBuffered writes a target's buffered response to the caller.
-func (x *exchange) writeBuffered(resp *bufferedResponse) {
+func (x *exchange) writeBuffered(resp *bufferedResponse, retryAfter time.Duration) {
 	copyEndToEndHeaders(x.w.Header(), resp.header)
+	setRetryAfter(x.w.Header(), resp.status, retryAfter)
 	x.setCloseIfStopping()
 	if x.r.Method != http.MethodHead {
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(resp.body)))
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -49,6 +49,7 @@
 	SlowCaller      Code = 3005 // the caller did not read its answer in time
 	AnswerTooLarge  Code = 3006 // the answer exceeds the limit for buffered answers
 	CrashSuspect    Code = 3007 // targets ended while they ran the request; it is not retried
+	StopRunning     Code = 3008 // the entry instance ended its planned stop during the answer
 )
 
 // Unknown outcomes: the request may have run.
@@ -111,6 +112,7 @@
 	SlowCaller:      {"slow-caller", http.StatusInternalServerError, "The caller did not read its answer in time."},
 	AnswerTooLarge:  {"answer-too-large", http.StatusInternalServerError, "The answer exceeds the limit for buffered answers."},
 	CrashSuspect:    {"crash-suspect", http.StatusInternalServerError, "Targets ended while they ran the request; it is not retried."},
+	StopRunning:     {"stop-running", http.StatusInternalServerError, "The entry instance ended its planned stop while the answer was being delivered."},
 
 	BrokenAfterSend:   {"broken-after-send", http.StatusInternalServerError, "The connection to the target broke after the request was sent."},
 	DeadlineAfterSend: {"deadline-after-send", http.StatusInternalServerError, "The time limit passed after the request was sent and before its answer came."},
