cli: a signal in the last moment of a stop does not end the process

After a stop, the process gave signals their default handling back before it exited: a SIGHUP in between ended it with "signal: hangup". No request was lost by it, but the exit looked unplanned.

Signals are now received until the process ends.

--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -40,8 +40,7 @@
 	log := telemetry.NewLog(lines)
 	// From before the first request is accepted: a SIGTERM would lose it.
 	signals := make(chan os.Signal, signalsBuffered)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
-	defer signal.Stop(signals)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt) // until the process ends
 	instance, err := fleetnode.Start(fleetnode.Options{
 		Settings: settings, Store: platform.NewStore(settings.StoreAddress),
 		Decoder: fleetnode.Decoder{
