fleet, forward, platform: a target that says in an answer that it leaves gets nothing more

Cause: the header was not read. Answers told the decision core of limits only, and only those that belonged to the present attempt, at its first event or its end.

The fix: an event of its own is delivered as soon as the head of any answer is read, before anything of it is passed on. It names the incarnation for which the connection was made. The core remembers it by incarnation, whatever entries and copies of the store say later, for departureMemory after the target was last listed. A reservation under way is placed again if one of its targets has left, the path is not checked there, and peers are told in the message that exists for it. Anything but "1" is ignored, with one line for each incarnation.

A target that was listed as draining first, or again after its removal, is now logged like any other that leaves; why says by whose word: listed, said-so or told-by-peer.

--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -40,6 +40,7 @@
 	targets          map[string]*targetState
 	targetsByService map[string][]*targetState // ordered by id
 	store            storeState
+	saidLeaving      map[incarnation]time.Duration // targets that said that they leave, and when they were last listed
 
 	requests      map[RequestID]*activeRequest
 	attempts      map[AttemptID]*activeRequest
@@ -78,7 +79,8 @@
 		roundRobin: make(map[string]int), peers: make(map[string]*peer),
 		retryBudgets: make(map[string]*retryBudget), culprits: quarantine.NewCulprits(), announcedVerdicts: make(map[quarantine.Fingerprint]bool), domains: make(map[string]*domainHealth),
 		targetChecks: make(map[incarnation]*targetCheck), demands: make(map[string]*demand), paths: make(map[string]*targetPath), firstEventRatios: make(map[string]float64),
-		store: storeState{reachable: true, departed: make(map[incarnation]time.Duration)},
+		store:       storeState{reachable: true, departed: make(map[incarnation]time.Duration)},
+		saidLeaving: make(map[incarnation]time.Duration),
 	}
 	c.updateInstanceDomains()
 	return c
@@ -115,6 +117,8 @@
 		c.handleRequestArrived(ev)
 	case Connected:
 		c.recordConnected(ev.Target)
+	case LeavingStated:
+		c.handleLeavingStated(ev)
 	case Progress:
 		c.handleProgress(ev)
 	case AttemptEnd:
@@ -223,5 +227,8 @@
 // deleteTarget removes a target from both indexes.
 func (c *Core) deleteTarget(target *targetState) {
 	delete(c.targets, target.ID)
+	if c.hasSaidLeaving(target.Target) {
+		c.rememberLeaving(target.incarnation())
+	}
 	c.targetsByService[target.Service] = slices.DeleteFunc(c.targetsByService[target.Service], func(other *targetState) bool { return other == target })
 }
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -279,9 +279,8 @@
 		}
 	}
 	for _, id := range g.LeavingTargets {
-		if target := c.targets[id]; target != nil && !target.leaving {
-			target.leaving = true
-			c.log("target-leaving", "target", id, "why", "told-by-peer")
+		if target := c.targets[id]; target != nil {
+			c.markLeaving(target, leavingToldByPeer)
 		}
 	}
 }
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -63,7 +63,8 @@
 // over its changes.
 func (c *Core) updateTarget(t Target) {
 	known := c.targets[t.ID]
-	if t.Outdated && (c.hasDeparted(t) || known != nil && known.StartedMS > t.StartedMS) {
+	isEarlierStart := known != nil && known.StartedMS > t.StartedMS
+	if t.Outdated && (c.hasDeparted(t) || isEarlierStart) || isEarlierStart && c.hasSaidLeaving(t) {
 		return
 	}
 	delete(c.store.pendingRemovals, t.ID)
@@ -75,17 +76,16 @@
 	}
 	if known == nil {
 		c.markAddressReused(t)
-		target := &targetState{Target: t, advancedAt: c.now, leaving: t.State == Draining, gone: c.isReplaced(t)}
+		target := &targetState{Target: t, advancedAt: c.now, gone: c.isReplaced(t)}
 		c.targets[t.ID] = target
 		c.addTarget(target)
-		c.checkNewTarget(target)
 		c.log("target-listed", "target", t.ID, "service", t.Service, "address", t.Address, "domain", t.FailureDomain)
+		c.markListedLeaving(target, t.State)
+		c.checkNewTarget(target)
 		return
 	}
 	known.Slots = t.Slots
-	if t.State == Draining && !known.leaving {
-		c.markLeaving(known, "draining")
-	}
+	c.markListedLeaving(known, t.State)
 	if t.State == Ready && known.gone && !c.isReplaced(t) { // listed again after its entry expired
 		known.gone = false
 		c.log("target-listed-again", "target", t.ID)
@@ -114,14 +114,6 @@
 	}
 }
 
-// markLeaving stops sending new requests to a target and tells the peers.
-func (c *Core) markLeaving(target *targetState, why string) {
-	target.leaving = true
-	c.outbox.leavingTargets = append(c.outbox.leavingTargets, target.ID)
-	c.scheduleGossip()
-	c.log("target-leaving", "target", target.ID, "why", why)
-}
-
 // removeTarget marks a target as gone that is no longer listed, or defers this while
 // removals are pending after a store outage.
 func (c *Core) removeTarget(id string) {
--- a/internal/fleet/reserve.go
+++ b/internal/fleet/reserve.go
@@ -61,8 +61,8 @@
 }
 
 // handleReserved records a helper's reply. After the last reply it sends the
-// request, or, if any helper denied the memory, releases the others' reservations
-// and places the request again.
+// request, or, if any helper denied the memory or a target leaves, releases the others'
+// reservations and places the request again.
 func (c *Core) handleReserved(ev Reserved) {
 	a := c.requests[ev.Request]
 	if a == nil || a.reservation == nil || a.reservation.granted {
@@ -81,12 +81,16 @@
 		c.refuseOrFail(a, result.Quarantined, quarantineRetryAfter)
 		return
 	}
-	if !res.denied {
+	if !res.denied && res.placement.takesWork() {
 		res.granted = true
 		c.sendAttempt(a, res.placement, res.tickets)
 		return
 	}
 	c.releaseTickets(a)
+	if !res.denied { // a target has left meanwhile
+		c.dispatch(a)
+		return
+	}
 	c.afterFunc(reserveRetryDelay, func() {
 		if c.requests[ev.Request] == a && a.attempt == 0 && a.reservation == nil {
 			c.dispatch(a)
--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -56,7 +56,8 @@
 	Target
 	limit       *targetLimit // nil while it names none
 	gone        bool         // no longer listed
-	leaving     bool         // draining, by the platform's list or a peer's report
+	leaving     bool         // gets nothing new
+	leavingBy   leavingSource
 	loads       []*trackedLoad
 	advancedAt  time.Duration // time up to which prefill progress is predicted
 	lastHeardAt time.Duration // when it last sent anything, here or to a peer
@@ -64,6 +65,9 @@
 	// guest is the result of guestDomain as of guestEpoch.
 	guest      string
 	guestEpoch int
+	// unreadableLeavingLogged says that an answer has said something of its leaving that is
+	// not understood.
+	unreadableLeavingLogged bool
 }
 
 // addLoad adds a load that was sent by this instance or by the peer owner.
--- /dev/null
+++ b/internal/fleet/target_leaving_test.go
@@ -0,0 +1,304 @@
+package fleet
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/medlardeck/medlardeck/internal/quarantine"
+	"github.com/medlardeck/medlardeck/internal/result"
+)
+
+// sayLeaving delivers an answer in which the present incarnation of a target says that it
+// leaves.
+func (h *harness) sayLeaving(id string) {
+	h.t.Helper()
+	must.MapContainsKey(h.t, h.core.targets, id)
+	h.step(LeavingStated{Target: h.core.targets[id].Target, Leaving: Leaving{Statement: LeavingSaid}})
+}
+
+// reached lists the ids of the targets and helpers of sends.
+func reached(sends []Send) []string {
+	var ids []string
+	for _, send := range sends {
+		ids = append(ids, send.Target.ID)
+		for _, helper := range send.Helpers {
+			ids = append(ids, helper.Target)
+		}
+	}
+	return ids
+}
+
+// A target said in an answer that it leaves and got first sends, helpers' parts and
+// requests of peers until its entry changed.
+func TestTargetThatSaysItLeavesGetsNoSends(t *testing.T) {
+	h := newHarness(t, 9)
+	h.sayLeaving("pool-00")
+	h.sayLeaving("app-00")
+	for range 12 {
+		h.submit(routeShort, 3000)
+		h.submit(routeLong, 130_000)
+		h.submit(routeIdempotent, 0)
+		h.submit(routeNonIdempotent, 0)
+		h.lastRequestID++
+		h.step(RequestArrived{
+			Request: h.lastRequestID, Route: &h.config.Routes[routeShort], Config: h.config, Deadline: h.now + 2*time.Second,
+			PromptTokens: 3000, MaxAnswerTokens: 100, Relayed: true, AttemptsLeft: 1,
+		})
+		h.advance(100 * time.Millisecond)
+	}
+	ids := reached(h.sends)
+	must.SliceContains(t, ids, "pool-01")
+	must.SliceContains(t, ids, "app-01")
+	must.SliceNotContains(t, ids, "pool-00")
+	must.SliceNotContains(t, ids, "app-00")
+	must.Eq(t, 2, h.logCounts["target-leaving"])
+}
+
+// Repeats and resumed streams went to a target that had said that it leaves.
+func TestRepeatsPassOverALeavingTarget(t *testing.T) {
+	h := newHarness(t, 2)
+	stream, call := h.submit(routeShort, 3000), h.submit(routeIdempotent, 0)
+	h.deliverFirstEvent(stream)
+	first := h.lastSend(stream).Target.ID
+	for _, target := range h.core.serviceTargets("pool") {
+		if target.ID != first {
+			h.sayLeaving(target.ID)
+		}
+	}
+	h.listTarget("pool", 7, "a")
+	h.step(AttemptEnd{Attempt: h.lastSend(stream).Attempt, Outcome: OutcomeBroken})
+	must.Eq(t, "pool-07", h.lastSend(stream).Target.ID)
+	h.sayLeaving("app-00")
+	h.sayLeaving("app-01")
+	h.sayLeaving("app-02")
+	h.listTarget("app", 7, "a")
+	h.step(AttemptEnd{Attempt: h.lastSend(call).Attempt, Outcome: OutcomeNotRun})
+	must.Eq(t, "app-07", h.lastSend(call).Target.ID)
+}
+
+// What runs at a target that leaves goes on to its end: it is neither cancelled nor
+// repeated, and the memory at a helper that leaves is renewed for it.
+func TestRequestsAtALeavingTargetEndThere(t *testing.T) {
+	h := newHarness(t, 8)
+	large := h.submit(routeLong, 400_000)
+	for _, r := range h.reserves {
+		h.step(Reserved{Request: large, Target: r.Target.ID, Granted: true})
+	}
+	stream := h.submit(routeShort, 3000)
+	helper := h.lastSend(large).Helpers[0]
+	h.sayLeaving(h.lastSend(stream).Target.ID)
+	h.sayLeaving(helper.Target)
+	h.sayLeaving(h.lastSend(large).Target.ID)
+	asked := len(h.reserves)
+	for range 30 {
+		h.deliverFirstEvent(stream)
+		h.deliverFirstEvent(large)
+		h.advance(100 * time.Millisecond)
+	}
+	renewed := slices.ContainsFunc(h.reserves[asked:], func(r Reserve) bool { return r.Ticket == helper.Ticket })
+	must.True(t, renewed)
+	must.SliceEmpty(t, h.cancels)
+	for _, id := range []RequestID{stream, large} {
+		h.step(AttemptEnd{Attempt: h.lastSend(id).Attempt, Outcome: OutcomeComplete})
+		must.Eq(t, 1, h.sendCount(id))
+		must.True(t, h.finishes[id].ForwardAnswer)
+	}
+}
+
+// A reservation was under way when one of its targets said that it leaves: the request was
+// sent with its part there.
+func TestReservationIsPlacedAgainIfATargetLeaves(t *testing.T) {
+	for _, leaver := range []string{"helper", "primary"} {
+		h := newHarness(t, 12)
+		id := h.submit(routeLong, 400_000)
+		asked := slices.Clone(h.reserves)
+		must.Greater(t, 1, len(asked))
+		left := asked[0].Target.ID
+		if leaver == "primary" {
+			left = h.core.requests[id].reservation.placement.primary.ID
+		}
+		h.sayLeaving(left)
+		for _, r := range asked {
+			h.step(Reserved{Request: id, Target: r.Target.ID, Granted: true})
+		}
+		must.Eq(t, 0, h.sendCount(id), must.Sprint(leaver))
+		must.Len(t, len(asked), h.releases)
+		again := h.reserves[len(asked):]
+		must.SliceNotEmpty(t, again)
+		for _, r := range slices.Clone(again) {
+			must.NotEq(t, left, r.Target.ID)
+			h.step(Reserved{Request: id, Target: r.Target.ID, Granted: true})
+		}
+		must.SliceNotContains(t, reached([]Send{h.lastSend(id)}), left)
+	}
+}
+
+// All targets of a service leave: callers are refused at once, also those that wait, and
+// get a time after which to come back.
+func TestRequestsAreRefusedAtOnceIfAllTargetsLeave(t *testing.T) {
+	h := newHarness(t, 1)
+	waiting := h.fillMemory(130_000)
+	h.sayLeaving("pool-00")
+	arrived := h.submit(routeShort, 1000)
+	must.Eq(t, result.NoTarget, h.finishes[arrived].Code)
+	must.Eq(t, noTargetRetryAfter, h.finishes[arrived].RetryAfter)
+	h.advance(placementRetryDelay)
+	must.Eq(t, result.NoTarget, h.finishes[waiting].Code)
+	must.Eq(t, noTargetRetryAfter, h.finishes[waiting].RetryAfter)
+}
+
+// No entry takes back what a target has said: not one that says ready, not its removal and
+// return, not the copy of a restored store, not a new configuration.
+func TestLeavingTargetStaysSoWhateverItsEntrySays(t *testing.T) {
+	h := newHarness(t, 2)
+	left := h.core.targets["pool-00"].Target
+	mustStayOut := func() {
+		h.t.Helper()
+		for range 5 {
+			send := h.lastSend(h.submit(routeShort, 1000))
+			must.Eq(t, "pool-01", send.Target.ID)
+			h.step(AttemptEnd{Attempt: send.Attempt, Outcome: OutcomeComplete})
+		}
+	}
+	h.sayLeaving(left.ID)
+	h.listTarget("pool", 0, "a")
+	mustStayOut()
+	h.step(TargetRemoved{left.ID})
+	mustStayOut()
+	h.listTarget("pool", 0, "a")
+	mustStayOut()
+	h.step(StoreReachability{Reachable: false})
+	h.step(StoreReachability{Reachable: true})
+	h.listTarget("pool", 0, "a")
+	mustStayOut()
+	h.step(StoreRestored{})
+	copied := left
+	copied.Outdated = true
+	h.step(TargetList{[]Target{copied, h.core.targets["pool-01"].Target}})
+	mustStayOut()
+	h.advance(3 * time.Second)
+	h.listTarget("pool", 0, "a")
+	mustStayOut()
+	newer := *h.config
+	newer.Version = 9
+	h.step(Configure{&newer})
+	mustStayOut()
+	moved := left
+	moved.Address = "10.0.0.9:pool"
+	h.step(TargetListed{moved})
+	mustStayOut()
+}
+
+// Another incarnation under the same id, or at the same address, is new, whatever is heard
+// late of the one before.
+func TestNewIncarnationOfALeavingTargetIsServedAtOnce(t *testing.T) {
+	h := newHarness(t, 1)
+	earlier := h.core.targets["pool-00"].Target
+	later := earlier
+	later.StartedMS = 2
+	h.sayLeaving("pool-00")
+	h.step(TargetListed{later})
+	must.Eq(t, 1, h.sendCount(h.submit(routeShort, 1000)))
+	h.step(LeavingStated{Target: earlier, Leaving: Leaving{Statement: LeavingSaid}})
+	must.Eq(t, 1, h.sendCount(h.submit(routeShort, 1000)))
+	// An entry of the one before, in the list of a peer that knows no other.
+	h.step(TargetListed{earlier})
+	must.Eq(t, int64(2), h.lastSend(h.submit(routeShort, 1000)).Target.StartedMS)
+	h.sayLeaving("pool-00")
+	must.Eq(t, result.NoTarget, h.finishes[h.submit(routeShort, 1000)].Code)
+	next := later
+	next.ID, next.StartedMS = "pool-next", 3
+	h.step(TargetListed{next})
+	must.Eq(t, "pool-next", h.lastSend(h.submit(routeShort, 1000)).Target.ID)
+}
+
+// What is not understood changes nothing, and is logged once for each incarnation.
+func TestUnreadableStatementIsLoggedOnce(t *testing.T) {
+	h := newHarness(t, 1)
+	state := func() {
+		h.step(LeavingStated{Target: h.core.targets["pool-00"].Target, Leaving: Leaving{LeavingUnreadable, "yes"}})
+	}
+	for range 5 {
+		state()
+	}
+	must.Eq(t, 1, h.logCounts["target-leaving-unreadable"])
+	must.True(t, h.acceptsRequests("pool-00"))
+	next := h.core.targets["pool-00"].Target
+	next.StartedMS = 2
+	h.step(TargetListed{next})
+	state()
+	must.Eq(t, 2, h.logCounts["target-leaving-unreadable"])
+	h.step(LeavingStated{Target: Target{ID: "unknown"}, Leaving: Leaving{LeavingUnreadable, "yes"}})
+	must.Eq(t, 2, h.logCounts["target-leaving-unreadable"])
+}
+
+// Targets that have left are forgotten in time, those that are still listed are not.
+func TestMemoryOfLeavingTargetsIsBounded(t *testing.T) {
+	h := newHarness(t, 2)
+	h.sayLeaving("pool-00")
+	for i := range 400 {
+		target := Target{ID: "pool-x", Service: "pool", Address: "10.0.9.9:1", FailureDomain: "a", Slots: 16, StartedMS: int64(10 + i)}
+		h.step(TargetListed{target})
+		h.sayLeaving("pool-x")
+		h.advance(departureMemory / 100)
+	}
+	must.LessEq(t, 110, len(h.core.saidLeaving))
+	h.step(TargetRemoved{"pool-00"})
+	h.sayLeaving("pool-01")
+	h.listTarget("pool", 0, "a")
+	must.False(t, h.acceptsRequests("pool-00"))
+}
+
+// A trial of a request that crashes targets must not go to one that leaves either.
+func TestTrialPassesOverALeavingTarget(t *testing.T) {
+	h := newHarness(t, 3)
+	fp := quarantine.RequestFingerprint(77)
+	h.step(PeerGossip{From: "front-2", Gossip: Gossip{News: &News{Verdicts: []quarantine.Verdict{{Fingerprint: fp}}}}})
+	h.sayLeaving("pool-00")
+	h.sayLeaving("pool-01")
+	for range 70 {
+		h.lastRequestID++
+		h.step(RequestArrived{
+			Request: h.lastRequestID, Route: &h.config.Routes[routeShort], Config: h.config, Deadline: h.now + 2*time.Second,
+			PromptTokens: 1000, MaxAnswerTokens: 10, Fingerprint: 77,
+		})
+		h.advance(10 * time.Second)
+	}
+	must.Greater(t, 0, h.logCounts["request-on-trial"])
+	for _, id := range reached(h.sends) {
+		must.Eq(t, "pool-02", id)
+	}
+}
+
+// Behind a lost path, targets are checked as soon as they are listed: not one that has said
+// that it leaves.
+func TestPathIsNotCheckedAtALeavingTarget(t *testing.T) {
+	h := newHarness(t, 3)
+	left := h.core.targets["pool-00"].Target
+	h.sayLeaving(left.ID)
+	h.step(TargetRemoved{left.ID})
+	for _, id := range []string{"pool-01", "pool-02"} {
+		h.step(TargetChecked{h.core.targets[id].Target, CheckUnreachable})
+	}
+	h.core.losePath(h.core.pathTo("pool"))
+	checked := func(ev Event) []string {
+		var ids []string
+		for _, eff := range h.core.Step(h.now, ev) {
+			if check, ok := eff.(CheckTarget); ok {
+				ids = append(ids, check.Target.ID)
+			}
+		}
+		return ids
+	}
+	must.SliceEmpty(t, checked(TargetListed{left}))
+	for range 20 {
+		h.now += maxPathCheckInterval
+		must.SliceNotContains(t, checked(Tick{}), left.ID)
+	}
+	other := left
+	other.StartedMS = 2
+	must.Eq(t, []string{left.ID}, checked(TargetListed{other}))
+}
--- a/internal/fleet/target_path.go
+++ b/internal/fleet/target_path.go
@@ -172,7 +172,7 @@
 // checkNewTarget checks a target that was listed while the path to its service is lost: it
 // may be the first that can be reached.
 func (c *Core) checkNewTarget(target *targetState) {
-	if path := c.paths[target.Service]; path != nil && path.state == pathLost {
+	if path := c.paths[target.Service]; path != nil && path.state == pathLost && target.takesWork() {
 		c.emit(CheckTarget{target.Target})
 	}
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -86,6 +86,7 @@
 	}
 	c, err := pool.get(x.node.ctx, send.Target.ID+"@"+send.Target.Address, send.Target.Address, nil, send.FreshConnection)
 	if err == nil && !c.reused {
+		c.target = send.Target
 		x.node.Step(fleet.Connected{Target: send.Target.ID})
 	}
 	return c, err
@@ -194,10 +195,11 @@
 		if err != nil {
 			return nil, ResponseMetadata{}, err
 		}
+		metadata := x.node.opts.HeaderCodec.ReadResponse(resp.StatusCode, resp.Header)
+		x.node.reportLeaving(c, resp, metadata)
 		if resp.StatusCode/100 == 1 {
 			continue
 		}
-		metadata := x.node.opts.HeaderCodec.ReadResponse(resp.StatusCode, resp.Header)
 		if metadata.RequestID == x.metadata.ID || metadata.RequestID == "" && metadata.NotRun {
 			return resp, metadata, nil
 		}
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -46,6 +46,7 @@
 	br        *bufio.Reader
 	limiter   *readLimiter // below br
 	targetKey string
+	target    fleet.Target // for which it was made; without an id if it leads to a peer
 	reused    bool
 	deadline  time.Time // of the current attempt
 	idleSince time.Time
@@ -175,6 +176,16 @@
 	}
 }
 
+// drop closes the idle connections with a key.
+func (p *pool) drop(key string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[key] {
+		_ = c.Close()
+	}
+	delete(p.idle, key)
+}
+
 // put returns a connection to the pool once its last response has been read
 // completely. It closes the connection if the pool is full or closed, or if the
 // target's Keep-Alive header leaves no time for another request.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -43,6 +43,7 @@
 	// none is named.
 	FailedAddress string
 	Limit         fleet.Limit
+	Leaving       fleet.Leaving
 }
 
 // HeaderCodec reads and writes the platform's HTTP headers.
@@ -59,10 +60,14 @@
 	SetRequestID(h http.Header, id string)
 }
 
+// OrderAnswer is what the answer to an order says of its target. It is zero if there is no
+// answer.
+type OrderAnswer struct{ Leaving fleet.Leaving }
+
 // MemoryReserver reserves and releases memory of targets.
 type MemoryReserver interface {
-	Reserve(ctx context.Context, r fleet.Reserve) error
-	Release(ctx context.Context, r fleet.Release) error
+	Reserve(ctx context.Context, r fleet.Reserve) (OrderAnswer, error)
+	Release(ctx context.Context, r fleet.Release) (OrderAnswer, error)
 }
 
 // Metrics increments counters and records durations.
@@ -250,7 +255,8 @@
 // reserveMemory reserves memory of a target and reports the result to the
 // decision core.
 func (n *Node) reserveMemory(r fleet.Reserve) {
-	err := n.opts.MemoryReserver.Reserve(n.ctx, r)
+	answer, err := n.opts.MemoryReserver.Reserve(n.ctx, r)
+	n.stepLeaving(r.Target, answer.Leaving)
 	reply := fleet.Reserved{Request: r.Request, Target: r.Target.ID, Granted: err == nil}
 	if err != nil {
 		reply.Cause = err.Error()
@@ -261,7 +267,9 @@
 // releaseMemory releases reserved memory of a target. If the call is lost, the
 // memory is freed at the end of its hold time.
 func (n *Node) releaseMemory(r fleet.Release) {
-	if err := n.opts.MemoryReserver.Release(n.ctx, r); err != nil {
+	answer, err := n.opts.MemoryReserver.Release(n.ctx, r)
+	n.stepLeaving(r.Target, answer.Leaving)
+	if err != nil {
 		n.opts.Log.Info("release-failed", "target", r.Target.ID, "ticket", r.Ticket, "cause", err.Error())
 	}
 }
