fleet, forward: an attempt that is not written yet is withheld if its target has left

Callers would see a request, seconds after it was chosen for a target, reach that target although it leaves, and fail with its end: a Send waits for its connection, and for the attempt before it as long as that writes to a slow caller.

TestSendMayNotStartOnceATargetLeaves and TestWithheldAttemptIsPlacedAgain hold the decision.

The fix: once the connection is there, and before the first byte is written, the core is asked whether all targets of the attempt still take anything new. If not, the attempt ends as withheld, and the request is placed again. That takes no attempt and nothing from the retry budget, and says nothing of the target's health or the path to it. Targets that leave by their entries, or are gone, count as well.

--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -200,6 +200,8 @@
 		if !wait {
 			c.retryOrFail(a, "broken")
 		}
+	case OutcomeWithheld:
+		c.placeWithheld(a)
 	case OutcomeCallerGone:
 		c.removeAttemptLoads(a)
 		a.attemptsRun++
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -139,9 +139,11 @@
 	OutcomeBroken
 	// OutcomeCallerGone means that the caller's connection failed during the attempt.
 	OutcomeCallerGone
+	// OutcomeWithheld means that nothing was sent, since a target of the attempt leaves.
+	OutcomeWithheld
 )
 
-var outcomeNames = [...]string{"complete", "failed", "not-connected", "not-run", "misdirected", "broken", "caller-gone"}
+var outcomeNames = [...]string{"complete", "failed", "not-connected", "not-run", "misdirected", "broken", "caller-gone", "withheld"}
 
 func (o AttemptOutcome) String() string { return outcomeNames[o] }
 
--- a/internal/fleet/target_leaving.go
+++ b/internal/fleet/target_leaving.go
@@ -116,3 +116,24 @@
 	}
 	return p.primary.takesWork()
 }
+
+// MayStart reports whether an attempt of which nothing has been sent yet may still start.
+// Its targets may have left since its Send.
+func (c *Core) MayStart(send Send) bool {
+	if send.Relay.Address != "" {
+		return true
+	}
+	for _, h := range send.Helpers {
+		if target := c.targets[h.Target]; target == nil || !target.takesWork() {
+			return false
+		}
+	}
+	target := c.targets[send.Target.ID]
+	return target != nil && target.StartedMS == send.Target.StartedMS && target.takesWork()
+}
+
+// placeWithheld places a request again whose attempt has not reached its target.
+func (c *Core) placeWithheld(a *activeRequest) {
+	c.removeAttemptLoads(a)
+	c.dispatch(a)
+}
--- a/internal/fleet/target_leaving_test.go
+++ b/internal/fleet/target_leaving_test.go
@@ -150,6 +150,50 @@
 	must.Eq(t, noTargetRetryAfter, h.finishes[waiting].RetryAfter)
 }
 
+// A Send waits for its connection, or for an attempt before it that still writes to its
+// caller. Its targets may leave meanwhile.
+func TestSendMayNotStartOnceATargetLeaves(t *testing.T) {
+	h := newHarness(t, 9)
+	short, long := h.lastSend(h.submit(routeShort, 3000)), h.lastSend(h.submit(routeLong, 130_000))
+	must.True(t, h.core.MayStart(short))
+	must.True(t, h.core.MayStart(long))
+	must.SliceNotEmpty(t, long.Helpers)
+	h.sayLeaving(long.Helpers[0].Target)
+	must.False(t, h.core.MayStart(long))
+	h.sayLeaving(short.Target.ID)
+	must.False(t, h.core.MayStart(short))
+	removed := h.lastSend(h.submit(routeIdempotent, 0))
+	h.step(TargetRemoved{removed.Target.ID})
+	must.False(t, h.core.MayStart(removed))
+	replaced := h.lastSend(h.submit(routeIdempotent, 0))
+	later := replaced.Target
+	later.StartedMS = 2
+	h.step(TargetListed{later})
+	must.False(t, h.core.MayStart(replaced))
+	must.True(t, h.core.MayStart(Send{Relay: Relay{Peer: "front-2", Address: "10.1.0.2:7342"}}))
+}
+
+// A withheld attempt has not reached its target: it takes no attempt and nothing from the
+// retry budget, and says nothing of its target or the path to it.
+func TestWithheldAttemptIsPlacedAgain(t *testing.T) {
+	h := newHarness(t, 8)
+	id := h.submit(routeNonIdempotent, 0)
+	for range 2 {
+		h.sayLeaving(h.lastSend(id).Target.ID)
+		h.step(AttemptEnd{Attempt: h.lastSend(id).Attempt, Outcome: OutcomeWithheld})
+	}
+	must.Eq(t, 3, h.sendCount(id))
+	a := h.core.requests[id]
+	must.Eq(t, 0, a.attemptsRun+a.attemptsNotRun)
+	must.MapEmpty(t, h.core.pathTo("app").failed)
+	for _, send := range h.sends {
+		must.Eq(t, health{}, h.core.targets[send.Target.ID].health)
+	}
+	h.sayLeaving(h.lastSend(id).Target.ID)
+	h.step(AttemptEnd{Attempt: h.lastSend(id).Attempt, Outcome: OutcomeWithheld})
+	must.Eq(t, result.NoTarget, h.finishes[id].Code)
+}
+
 // No entry takes back what a target has said: not one that says ready, not its removal and
 // return, not the copy of a restored store, not a new configuration.
 func TestLeavingTargetStaysSoWhateverItsEntrySays(t *testing.T) {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -56,6 +56,12 @@
 func (x *exchange) runAttempt(send fleet.Send) fleet.AttemptEnd {
 	x.buffered, x.limit = nil, fleet.Limit{}
 	c, err := x.connect(send)
+	if !x.node.mayStart(send) {
+		if err == nil {
+			_ = c.Close()
+		}
+		return fleet.AttemptEnd{Outcome: fleet.OutcomeWithheld}
+	}
 	if err != nil {
 		return fleet.AttemptEnd{Outcome: fleet.OutcomeNotConnected, Cause: err.Error()}
 	}
--- a/internal/forward/leaving.go
+++ b/internal/forward/leaving.go
@@ -31,3 +31,10 @@
 		n.Step(fleet.LeavingStated{Target: target, Leaving: leaving})
 	}
 }
+
+// mayStart reports whether an attempt of which nothing has been sent yet may still start.
+func (n *Node) mayStart(send fleet.Send) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.core.MayStart(send)
+}
