Merge targets that say they leave

Both headers had a way of their own to keep an attempt from being written that its target does not want any more. The core's question MayStart, asked before a connection is made and before the request is written, serves both; the effect that recalled attempts is gone.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -44,6 +44,7 @@
 	errUnsigned         = errors.New("successful response without the target's signature")
 	errEncodedResponse  = errors.New("response has a content encoding")
 	errResponseTooLarge = errors.New("response is too large")
+	errCancelled        = errors.New("cancelled")
 )
 
 // brokenAttempt returns the end of an attempt that failed without a complete
@@ -52,27 +53,26 @@
 	return fleet.AttemptEnd{Outcome: fleet.OutcomeBroken, Cause: cause.Error()}
 }
 
-// unsentAttempt returns the end of an attempt that is no longer wanted.
-func unsentAttempt(cause error) fleet.AttemptEnd {
-	if errors.Is(cause, errRecalled) {
-		return fleet.AttemptEnd{Outcome: fleet.OutcomeRecalled, Cause: cause.Error()}
-	}
-	return brokenAttempt(cause)
-}
-
 // runAttempt sends the request to a target and relays or buffers the response.
 func (x *exchange) runAttempt(send fleet.Send) fleet.AttemptEnd {
 	x.buffered, x.limit = nil, fleet.Limit{}
-	if err := x.checkWanted(send.Attempt); err != nil {
-		return unsentAttempt(err)
+	withheld := fleet.AttemptEnd{Outcome: fleet.OutcomeWithheld}
+	if !x.node.mayStart(send) {
+		return withheld
 	}
 	c, err := x.connect(send)
+	if !x.node.mayStart(send) {
+		if err == nil {
+			_ = c.Close()
+		}
+		return withheld
+	}
 	if err != nil {
 		return fleet.AttemptEnd{Outcome: fleet.OutcomeNotConnected, Cause: err.Error()}
 	}
-	if err := x.registerConn(send.Attempt, c); err != nil {
+	if !x.registerConn(send.Attempt, c) {
 		_ = c.Close()
-		return unsentAttempt(err)
+		return brokenAttempt(errCancelled)
 	}
 	defer x.clearConn()
 	timeLeft := send.Deadline - x.node.clock.now()
@@ -97,6 +97,7 @@
 	}
 	c, err := pool.get(x.node.ctx, send.Target.ID+"@"+send.Target.Address, send.Target.Address, nil, send.FreshConnection)
 	if err == nil && !c.reused {
+		c.target = send.Target
 		x.node.Step(fleet.Connected{Target: send.Target.ID})
 	}
 	return c, err
@@ -211,10 +212,11 @@
 		if err != nil {
 			return nil, ResponseMetadata{}, err
 		}
+		metadata := x.node.opts.HeaderCodec.ReadResponse(resp.StatusCode, resp.Header)
+		x.node.reportLeaving(c, resp, metadata)
 		if resp.StatusCode/100 == 1 {
 			continue
 		}
-		metadata := x.node.opts.HeaderCodec.ReadResponse(resp.StatusCode, resp.Header)
 		if metadata.RequestID == x.metadata.ID || metadata.RequestID == "" && metadata.NotRun {
 			return resp, metadata, nil
 		}
