fleet, fleetnode: a peer's word that a target leaves counts for the incarnation that it knows

Callers would see fewer targets: a message between instances names the targets that leave by their ids alone. A word of the incarnation before, from a peer that was late or had not read the next entry, took the next incarnation out of service here until it left itself, and was passed on from one instance to the next.

The fix: an instance keeps the position of the store at which it first read the entry of a target's present incarnation, and uses a peer's word only if the peer has read up to there in the same era, or knows of no eras. Full messages repeat the word each second, so one that was ignored is not lost. A target that was listed anew within the delay of a message is left out. The layout of messages does not change.

What remains: the sender reads its position when it sends, a moment after the message was made. An entry that arrives between the two makes the word look newer than it is; the mark then stays until the next incarnation.

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -47,6 +47,9 @@
 	// Outdated says that the platform's store has this entry from the copy that it was
 	// restored from: the target may have left since.
 	Outdated bool
+	// Listed is the position of the entry by which the platform's store named this
+	// incarnation first, as far as it is known.
+	Listed StorePosition
 }
 
 // TargetListed reports that the platform lists a new or changed target.
@@ -173,7 +176,9 @@
 	// From is the name of the peer, Domain its failure domain. RelayAddress is the
 	// host:port at which it serves requests of its peers.
 	From, Domain, RelayAddress string
-	Gossip                     Gossip
+	// StorePosition is up to where the peer has read the platform's store.
+	StorePosition StorePosition
+	Gossip        Gossip
 }
 
 // Reserved delivers a target's reply to Reserve.
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -133,7 +133,7 @@
 	g.Loads = selectFunc(g.Loads, func(load TargetLoad) bool { return told(load.Key) })
 	g.FirstEvents = selectFunc(g.FirstEvents, told)
 	g.EndedLoads = selectFunc(g.EndedLoads, told)
-	g.LeavingTargets = c.outbox.leavingTargets
+	g.LeavingTargets = selectFunc(c.outbox.leavingTargets, c.tellsLeaving)
 	return g
 }
 
@@ -185,7 +185,7 @@
 				g.Loads = append(g.Loads, load)
 			}
 		}
-		if target.leaving && !target.gone {
+		if c.tellsLeaving(target.ID) {
 			g.LeavingTargets = append(g.LeavingTargets, target.ID)
 		}
 	}
@@ -245,7 +245,7 @@
 			delete(p.loads, key)
 		}
 	}
-	c.applyPeerWarnings(g)
+	c.applyPeerWarnings(&ev)
 	if g.News != nil {
 		c.applyNews(ev.From, g.News)
 	}
@@ -272,15 +272,13 @@
 }
 
 // applyPeerWarnings records the failed and leaving targets that a peer reports.
-func (c *Core) applyPeerWarnings(g *Gossip) {
-	for _, id := range g.FailedTargets {
+func (c *Core) applyPeerWarnings(ev *PeerGossip) {
+	for _, id := range ev.Gossip.FailedTargets {
 		if target := c.targets[id]; target != nil {
 			target.health.recordFailure(c.now, 1, true)
 		}
 	}
-	for _, id := range g.LeavingTargets {
-		if target := c.targets[id]; target != nil {
-			c.markLeaving(target, leavingToldByPeer)
-		}
+	for _, id := range ev.Gossip.LeavingTargets {
+		c.markLeavingByPeer(id, ev.StorePosition)
 	}
 }
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -85,6 +85,9 @@
 		return
 	}
 	known.Slots = t.Slots
+	if t.Listed.Era > known.Listed.Era {
+		known.Listed = t.Listed
+	}
 	c.markListedLeaving(known, t.State)
 	if t.State == Ready && known.gone && !c.isReplaced(t) { // listed again after its entry expired
 		known.gone = false
--- a/internal/fleet/target_leaving.go
+++ b/internal/fleet/target_leaving.go
@@ -29,6 +29,13 @@
 
 func (LeavingStated) fleetEvent() {}
 
+// StorePosition is a moment in the life of the platform's store. Revisions are counted
+// within an era, which begins when the store is restored from a copy.
+type StorePosition struct{ Era, Revision uint64 }
+
+// noEra is the era that peers name which know of none.
+const noEra = 0
+
 // leavingSource is by whose word a target leaves. A later one outweighs those before.
 type leavingSource uint8
 
@@ -104,6 +111,23 @@
 	}
 }
 
+// markLeavingByPeer marks a target that a peer reports as leaving. A peer names targets by
+// their ids alone: one that has not read the present entry may mean an earlier
+// incarnation.
+func (c *Core) markLeavingByPeer(id string, read StorePosition) {
+	target := c.targets[id]
+	if target == nil || read.Revision < target.Listed.Revision || read.Era != target.Listed.Era && read.Era != noEra {
+		return
+	}
+	c.markLeaving(target, leavingToldByPeer)
+}
+
+// tellsLeaving reports whether the peers are told that a target leaves.
+func (c *Core) tellsLeaving(id string) bool {
+	target := c.targets[id]
+	return target != nil && target.leaving && !target.gone
+}
+
 // takesWork reports whether a target may get anything new.
 func (t *targetState) takesWork() bool { return !t.leaving && !t.gone }
 
--- a/internal/fleet/target_leaving_test.go
+++ b/internal/fleet/target_leaving_test.go
@@ -259,6 +259,85 @@
 	must.Eq(t, "pool-next", h.lastSend(h.submit(routeShort, 1000)).Target.ID)
 }
 
+// A peer names a target that leaves by its id alone. A late word of the incarnation before
+// took the next one out of service.
+func TestPeersWordOfAnEarlierIncarnationIsIgnored(t *testing.T) {
+	h := newHarness(t, 0)
+	target := Target{
+		ID: "pool-00", Service: "pool", Address: "10.0.0.1:1", FailureDomain: "a", Slots: 16, StartedMS: 5,
+		Listed: StorePosition{Era: 1, Revision: 40},
+	}
+	h.step(TargetListed{target})
+	tell := func(read StorePosition) {
+		h.step(PeerGossip{From: "front-2", StorePosition: read, Gossip: Gossip{LeavingTargets: []string{"pool-00"}}})
+	}
+	tell(StorePosition{Era: 1, Revision: 39})
+	tell(StorePosition{Revision: 39})
+	tell(StorePosition{Era: 2, Revision: 90}) // read from a copy that may lack the target
+	must.True(t, h.acceptsRequests("pool-00"))
+	again := target
+	again.Listed = StorePosition{Era: 1, Revision: 70}
+	h.step(TargetListed{again}) // further entries of the same incarnation change nothing
+	tell(StorePosition{Era: 1, Revision: 40})
+	must.False(t, h.acceptsRequests("pool-00"))
+	target.StartedMS, target.Listed.Revision = 6, 80
+	h.step(TargetListed{target})
+	must.True(t, h.acceptsRequests("pool-00"))
+	target.Listed = StorePosition{Era: 2, Revision: 60}
+	h.step(TargetListed{target})
+	tell(StorePosition{Era: 1, Revision: 99})
+	must.True(t, h.acceptsRequests("pool-00"))
+	tell(StorePosition{Era: 2, Revision: 60})
+	must.False(t, h.acceptsRequests("pool-00"))
+	target.StartedMS, target.Listed.Revision = 7, 90
+	h.step(TargetListed{target})
+	tell(StorePosition{Revision: 89})
+	must.True(t, h.acceptsRequests("pool-00"))
+	tell(StorePosition{Revision: 90}) // of a peer that knows of no eras
+	must.False(t, h.acceptsRequests("pool-00"))
+}
+
+// told lists the targets of which the last messages to the peers say that they leave.
+func (h *harness) told() []string {
+	var ids []string
+	for _, g := range h.gossips {
+		ids = append(ids, g.Gossip.LeavingTargets...)
+	}
+	slices.Sort(ids)
+	return slices.Compact(ids)
+}
+
+// The peers are told at once, also after the target was listed anew, and each second. What a
+// peer has said is repeated each second only: all have heard it.
+func TestPeersAreToldOfTargetsThatLeave(t *testing.T) {
+	h := newHarness(t, 4)
+	h.step(PeerGossip{From: "front-2", Domain: "a", Gossip: Gossip{Full: true, LeavingTargets: []string{"pool-02"}}})
+	h.gossips = nil
+	h.sayLeaving("pool-00")
+	drains := h.core.targets["pool-01"].Target
+	drains.State = Draining
+	h.step(TargetListed{drains})
+	h.advance(gossipDelay)
+	must.Eq(t, []string{"pool-00", "pool-01"}, h.told())
+	h.gossips = nil
+	h.advance(fullGossipInterval)
+	must.Eq(t, []string{"pool-00", "pool-01", "pool-02"}, h.told())
+	h.sayLeaving("pool-02") // to this instance too, after the peers have heard it
+	h.step(TargetRemoved{"pool-00"})
+	h.listTarget("pool", 0, "a")
+	h.gossips = nil
+	h.advance(gossipDelay)
+	must.Eq(t, []string{"pool-00"}, h.told())
+	// A new incarnation within the delay of the message.
+	h.sayLeaving("pool-03")
+	next := h.core.targets["pool-03"].Target
+	next.StartedMS = 2
+	h.step(TargetListed{next})
+	h.gossips = nil
+	h.advance(gossipDelay)
+	must.SliceNotContains(t, h.told(), "pool-03")
+}
+
 // What is not understood changes nothing, and is logged once for each incarnation.
 func TestUnreadableStatementIsLoggedOnce(t *testing.T) {
 	h := newHarness(t, 1)
--- a/internal/fleetnode/gossip.go
+++ b/internal/fleetnode/gossip.go
@@ -195,7 +195,7 @@
 			g.addPeer(a)
 		}
 		relay := netip.AddrPortFrom(from.Addr(), uint16(g.relayPort)).String()
-		g.onPeerLoad(fleet.PeerGossip{From: d.From, Domain: d.Domain, RelayAddress: relay, Gossip: d.Gossip})
+		g.onPeerLoad(fleet.PeerGossip{From: d.From, Domain: d.Domain, RelayAddress: relay, StorePosition: fleet.StorePosition(d.StorePosition.position()), Gossip: d.Gossip})
 		g.onMessage(from, &d)
 	}
 }
