--- a/internal/fleet/target_leaving_test.go
+++ b/internal/fleet/target_leaving_test.go
@@ -150,6 +150,17 @@
 	must.Eq(t, noTargetRetryAfter, h.finishes[waiting].RetryAfter)
 }
 
+// The last target of a failure domain leaves: work goes to the other domains at once.
+func TestWorkLeavesADomainWithItsLastTarget(t *testing.T) {
+	h := newHarness(t, 0)
+	h.listTarget("pool", 0, "a")
+	h.listTarget("pool", 1, "b")
+	h.sayLeaving("pool-00")
+	must.Eq(t, "pool-01", h.lastSend(h.submit(routeShort, 1000)).Target.ID)
+	h.sayLeaving("pool-01")
+	must.Eq(t, result.NoTarget, h.finishes[h.submit(routeShort, 1000)].Code)
+}
+
 // A Send waits for its connection, or for an attempt before it that still writes to its
 // caller. Its targets may leave meanwhile.
 func TestSendMayNotStartOnceATargetLeaves(t *testing.T) {
@@ -257,6 +268,12 @@
 	next.ID, next.StartedMS = "pool-next", 3
 	h.step(TargetListed{next})
 	must.Eq(t, "pool-next", h.lastSend(h.submit(routeShort, 1000)).Target.ID)
+	for _, id := range []string{"app-00", "app-01", "app-02", "pool-next"} {
+		h.sayLeaving(id)
+	}
+	next.ID, next.Service, next.StartedMS = "app-next", "app", 4
+	h.step(TargetListed{next}) // at the same address for another service
+	must.Eq(t, "app-next", h.lastSend(h.submit(routeIdempotent, 0)).Target.ID)
 }
 
 // A peer names a target that leaves by its id alone. A late word of the incarnation before
