fleetnode: instances of different builds read each other's messages

During an upgrade instances of older builds are peers. A message was decoded whole, as an array whose length and types had to match, and dropped otherwise.

Now a message that differs is decoded part by part: unknown elements are ignored, missing ones are zero, an unreadable part loses only itself and is logged once per peer and build. A CBOR tag around the message holds the format of the sender's build; decoders skip tags that they do not know. The sender sends each peer what its messages have shown that it reads. As long as the layout of news is unknown, news travel in a message of their own.

From format 1 on, leaving targets are named with their start, so that a late word on an incarnation does not take the next one out of use.

--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -44,12 +45,23 @@
 	FailedTargets []string
 	// News is nil if there is none.
 	News *News
-	// LeavingTargets lists the ids of targets that are leaving.
+	// LeavingTargets lists the ids of targets that are leaving, in messages from builds
+	// that do not send Leaving.
 	LeavingTargets []string
+	// Leaving lists the incarnations of targets that are leaving.
+	Leaving []LeavingTarget
+}
+
+// LeavingTarget is an incarnation of a target that is leaving.
+type LeavingTarget struct {
+	_ struct{} `cbor:",toarray"`
+	// ID and StartedMS are those of the Target.
+	ID        string
+	StartedMS int64
 }
 
 func (g *Gossip) isEmpty() bool {
-	return !g.Full && len(g.Loads)+len(g.FirstEvents)+len(g.EndedLoads)+len(g.FailedTargets)+len(g.LeavingTargets) == 0 && g.News == nil
+	return !g.Full && len(g.Loads)+len(g.FirstEvents)+len(g.EndedLoads)+len(g.FailedTargets)+len(g.Leaving) == 0 && g.News == nil
 }
 
 // peer is another instance.
@@ -74,7 +86,7 @@
 type outbox struct {
 	pending           Gossip
 	changedAt         map[uint64]*targetState // the targets of the changed loads, by TargetLoad.Key
-	leavingTargets    []string
+	leavingTargets    []LeavingTarget
 	scheduled         bool // the timer of gossipDelay is running
 	due               bool // the timer has expired
 	fullGossipStarted bool // the periodic full messages have been started
@@ -133,7 +145,7 @@
 	g.Loads = selectFunc(g.Loads, func(load TargetLoad) bool { return told(load.Key) })
 	g.FirstEvents = selectFunc(g.FirstEvents, told)
 	g.EndedLoads = selectFunc(g.EndedLoads, told)
-	g.LeavingTargets = c.outbox.leavingTargets
+	g.Leaving = c.outbox.leavingTargets
 	return g
 }
 
@@ -186,12 +198,12 @@
 			}
 		}
 		if target.leaving && !target.gone {
-			g.LeavingTargets = append(g.LeavingTargets, target.ID)
+			g.Leaving = append(g.Leaving, target.leavingTarget())
 		}
 	}
 	c.stateNews(&g)
 	slices.SortFunc(g.Loads, func(a, b TargetLoad) int { return int(int64(a.Key) - int64(b.Key)) })
-	slices.Sort(g.LeavingTargets)
+	slices.SortFunc(g.Leaving, func(a, b LeavingTarget) int { return cmp.Compare(a.ID, b.ID) })
 	return g
 }
 
@@ -279,9 +291,26 @@
 		}
 	}
 	for _, id := range g.LeavingTargets {
-		if target := c.targets[id]; target != nil && !target.leaving {
-			target.leaving = true
-			c.log("target-leaving", "target", id, "why", "told-by-peer")
+		if target := c.targets[id]; target != nil {
+			c.markLeavingByPeer(target)
+		}
+	}
+	for _, leaving := range g.Leaving {
+		if target := c.targets[leaving.ID]; target != nil && target.StartedMS == leaving.StartedMS {
+			c.markLeavingByPeer(target)
 		}
 	}
 }
+
+// markLeavingByPeer stops sending new requests to a target that a peer reports as leaving.
+func (c *Core) markLeavingByPeer(target *targetState) {
+	if !target.leaving {
+		target.leaving = true
+		c.log("target-leaving", "target", target.ID, "why", "told-by-peer")
+	}
+}
+
+// leavingTarget names the target's incarnation to peers.
+func (t *targetState) leavingTarget() LeavingTarget {
+	return LeavingTarget{ID: t.ID, StartedMS: t.StartedMS}
+}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -117,7 +117,7 @@
 // markLeaving stops sending new requests to a target and tells the peers.
 func (c *Core) markLeaving(target *targetState, why string) {
 	target.leaving = true
-	c.outbox.leavingTargets = append(c.outbox.leavingTargets, target.ID)
+	c.outbox.leavingTargets = append(c.outbox.leavingTargets, target.leavingTarget())
 	c.scheduleGossip()
 	c.log("target-leaving", "target", target.ID, "why", why)
 }
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -30,6 +30,19 @@
 	must.False(t, h.acceptsRequests("pool-00"))
 }
 
+// A peer's word on an earlier incarnation, which may come late, must not take the next one
+// out of use.
+func TestPeerReportsIncarnationsThatLeave(t *testing.T) {
+	h := newHarness(t, 2)
+	started := h.core.targets["pool-00"].StartedMS
+	h.step(PeerGossip{From: "front-2", Gossip: Gossip{Leaving: []LeavingTarget{{ID: "pool-00", StartedMS: started - 1}}}})
+	must.True(t, h.acceptsRequests("pool-00"))
+	h.step(PeerGossip{From: "front-2", Gossip: Gossip{Leaving: []LeavingTarget{{ID: "pool-00", StartedMS: started}}}})
+	must.False(t, h.acceptsRequests("pool-00"))
+	h.advance(2 * time.Second)
+	must.Eq(t, []LeavingTarget{{ID: "pool-00", StartedMS: started}}, h.gossips[len(h.gossips)-1].Gossip.Leaving)
+}
+
 // Entries expire while the store is unreachable although their targets live. Only
 // targets still missing two seconds after the outage are gone.
 func TestRemovalsAroundStoreOutageAreDeferred(t *testing.T) {
--- a/internal/fleetnode/gossip.go
+++ b/internal/fleetnode/gossip.go
@@ -5,15 +5,16 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/go-logr/logr"
 
 	"github.com/medlardeck/medlardeck/internal/fleet"
 	"github.com/medlardeck/medlardeck/internal/follow"
+	"github.com/medlardeck/medlardeck/internal/forward"
 )
 
 // Limits of messages between instances.
@@ -24,37 +25,6 @@
 	maxAdvertisedPeers = 8
 )
 
-// datagram is one message between instances.
-type datagram struct {
-	_            struct{} `cbor:",toarray"`
-	From, Domain string
-	// FollowsStore reports whether the sender follows the store and gets
-	// responses from it.
-	FollowsStore bool
-	// ConfigVersion and StorePosition are the newest that the sender has.
-	ConfigVersion uint64
-	StorePosition packedPosition
-	// Peers are addresses of instances that the sender knows; set only in
-	// messages that state all loads.
-	Peers  []netip.AddrPort
-	Gossip fleet.Gossip
-}
-
-// packedPosition is a position of the store as one number, which instances that do not
-// know of eras compare as a revision.
-type packedPosition uint64
-
-// revisionBits is the number of low bits of a packedPosition that hold the revision.
-const revisionBits = 44
-
-func packPosition(p follow.Position) packedPosition {
-	return packedPosition(p.Era<<revisionBits | p.Revision&(1<<revisionBits-1))
-}
-
-func (p packedPosition) position() follow.Position {
-	return follow.Position{Era: uint64(p) >> revisionBits, Revision: uint64(p) & (1<<revisionBits - 1)}
-}
-
 // gossip exchanges datagrams with the other instances of the fleet.
 type gossip struct {
 	name       string
@@ -63,6 +33,7 @@
 	relayPort  int
 	conn       *net.UDPConn
 	log        logr.Logger
+	metrics    forward.Metrics
 	onPeerLoad func(fleet.PeerGossip)
 	// onMessage is called for each message.
 	onMessage func(peer netip.AddrPort, d *datagram)
@@ -72,6 +43,9 @@
 	// responses.
 	followsStore func() bool
 
+	// unreadableLoggedAt is the time of the last line on a message that names no sender.
+	unreadableLoggedAt time.Time
+
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*peerContact
 }
@@ -81,6 +55,11 @@
 	addedAt, lastMessageAt time.Time // lastMessageAt is zero before the first message
 	name, domain           string
 	followsStore           bool
+	// form is what the peer reads; formKnown says that it has sent a message.
+	form      peerForm
+	formKnown bool
+	// unreadableLogged says that a message with unreadable parts has been logged.
+	unreadableLogged bool
 }
 
 // peerExpiry is how long an address stays in use without a message from it.
@@ -88,7 +67,7 @@
 
 // listenGossip opens the UDP socket and adds the seed addresses. An invalid
 // seed is logged and ignored.
-func listenGossip(s *Settings, log logr.Logger) (*gossip, error) {
+func listenGossip(s *Settings, metrics forward.Metrics, log logr.Logger) (*gossip, error) {
 	own, err := netip.ParseAddrPort(net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)))
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
@@ -97,7 +76,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers at %s: %w", own, err)
 	}
-	g := &gossip{name: s.Name, domain: s.FailureDomain, ownAddress: own, relayPort: s.RelayPort, conn: conn, log: log, peers: make(map[netip.AddrPort]*peerContact)}
+	g := &gossip{name: s.Name, domain: s.FailureDomain, ownAddress: own, relayPort: s.RelayPort, conn: conn, log: log, metrics: metrics, peers: make(map[netip.AddrPort]*peerContact)}
 	for _, seed := range s.Seeds {
 		if a, err := netip.ParseAddrPort(seed); err == nil {
 			g.addPeer(a)
@@ -117,14 +96,20 @@
 	}
 }
 
+// recipient is the address of a peer and the form of messages that it reads.
+type recipient struct {
+	address netip.AddrPort
+	form    peerForm
+}
+
 // recipients returns the addresses that a message is sent to, and removes expired
 // ones. Addresses that have sent no message yet, whose failure domain is unknown,
 // receive the messages with all loads for the own domain, so that both get to know
 // each other.
-func (g *gossip) recipients(m fleet.SendGossip) []netip.AddrPort {
+func (g *gossip) recipients(m fleet.SendGossip) []recipient {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	addresses := make([]netip.AddrPort, 0, len(g.peers))
+	recipients := make([]recipient, 0, len(g.peers))
 	for a, c := range g.peers {
 		if time.Since(c.addedAt) > peerExpiry && time.Since(c.lastMessageAt) > peerExpiry {
 			delete(g.peers, a)
@@ -132,10 +117,10 @@
 		}
 		introduce := c.name == "" && m.Gossip.Full && m.Domain == g.domain
 		if introduce || (m.Domain == "" || m.Domain == c.domain) && (m.Peer == "" || m.Peer == c.name) {
-			addresses = append(addresses, a)
+			recipients = append(recipients, recipient{a, c.form})
 		}
 	}
-	return addresses
+	return recipients
 }
 
 // knownAddresses returns up to limit addresses of peers, drawn at random. g.mu must
@@ -157,19 +142,38 @@
 	d := datagram{From: g.name, Domain: g.domain, FollowsStore: g.followsStore(), Gossip: m.Gossip}
 	version, position := g.versions()
 	d.ConfigVersion, d.StorePosition = version, packPosition(position)
-	peers := g.recipients(m)
+	recipients := g.recipients(m)
 	if m.Gossip.Full {
 		d.Peers = g.knownAddresses(maxAdvertisedPeers)
 	}
-	raw, err := cbor.Marshal(d)
-	if err != nil || len(raw) > maxDatagramBytes {
-		g.log.Info("peer-message-dropped", "bytes", len(raw), "cause", fmt.Sprint(err))
-		return
+	encoded := make(map[peerForm][][]byte)
+	for _, r := range recipients {
+		messages, ok := encoded[r.form]
+		if !ok {
+			messages = g.encode(&d, r.form)
+			encoded[r.form] = messages
+		}
+		for _, raw := range messages {
+			// The next message that states all loads makes up for a lost datagram.
+			_, _ = g.conn.WriteToUDPAddrPort(raw, r.address)
+		}
 	}
-	for _, a := range peers {
-		// The next message that states all loads makes up for a lost datagram.
-		_, _ = g.conn.WriteToUDPAddrPort(raw, a)
+}
+
+// encode returns a message in the form that a peer reads, without parts that are too long
+// for a datagram.
+func (g *gossip) encode(d *datagram, form peerForm) [][]byte {
+	messages, err := d.encode(form)
+	if err != nil {
+		g.log.Info("peer-message-dropped", "format", form.format, "cause", err.Error())
 	}
+	return slices.DeleteFunc(messages, func(raw []byte) bool {
+		tooLong := len(raw) > maxDatagramBytes
+		if tooLong {
+			g.log.Info("peer-message-dropped", "format", form.format, "bytes", len(raw))
+		}
+		return tooLong
+	})
 }
 
 // receiveMessages handles messages until the socket is closed.
@@ -181,25 +185,32 @@
 			g.log.Info("peer-listener-closed", "cause", err.Error())
 			return
 		}
-		var d datagram
-		if err := cbor.Unmarshal(buf[:n], &d); err != nil {
-			g.log.Info("peer-message-unreadable", "from", from.String(), "cause", err.Error())
-			continue
-		}
-		if d.From == g.name {
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		m, err := decodeMessage(buf[:n])
+		if err != nil {
+			g.recordUnreadable(from, err)
 			continue
 		}
-		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
-		g.recordMessage(from, &d)
-		for _, a := range d.Peers {
-			g.addPeer(a)
+		if m.From != g.name {
+			g.handleMessage(from, m)
 		}
-		relay := netip.AddrPortFrom(from.Addr(), uint16(g.relayPort)).String()
-		g.onPeerLoad(fleet.PeerGossip{From: d.From, Domain: d.Domain, RelayAddress: relay, Gossip: d.Gossip})
-		g.onMessage(from, &d)
 	}
 }
 
+// handleMessage passes on what a peer tells.
+func (g *gossip) handleMessage(from netip.AddrPort, m *receivedMessage) {
+	g.recordMessage(from, &m.datagram)
+	g.recordBuild(from, m)
+	for _, a := range m.Peers {
+		g.addPeer(a)
+	}
+	g.onPeerLoad(fleet.PeerGossip{
+		From: m.From, Domain: m.Domain, RelayAddress: netip.AddrPortFrom(from.Addr(), uint16(g.relayPort)).String(),
+		Gossip: m.Gossip,
+	})
+	g.onMessage(from, &m.datagram)
+}
+
 // recordMessage updates the state of the peer that sent a message.
 func (g *gossip) recordMessage(from netip.AddrPort, d *datagram) {
 	g.mu.Lock()
--- /dev/null
+++ b/internal/fleetnode/message.go
@@ -0,0 +1,223 @@
+package fleetnode
+
+import (
+	"encoding/binary"
+	"fmt"
+	"net/netip"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/medlardeck/medlardeck/internal/fleet"
+	"github.com/medlardeck/medlardeck/internal/follow"
+	"github.com/medlardeck/medlardeck/internal/quarantine"
+)
+
+// datagram is one message between instances. New elements are appended to it and to the
+// types that it contains; see docs/design/messages.md.
+type datagram struct {
+	_            struct{} `cbor:",toarray"`
+	From, Domain string
+	// FollowsStore reports whether the sender follows the store and gets
+	// responses from it.
+	FollowsStore bool
+	// ConfigVersion and StorePosition are the newest that the sender has.
+	ConfigVersion uint64
+	StorePosition packedPosition
+	// Peers are addresses of instances that the sender knows; set only in
+	// messages that state all loads.
+	Peers  []netip.AddrPort
+	Gossip fleet.Gossip
+}
+
+// packedPosition is a position of the store as one number. Builds that do not know of
+// eras send and compare the revision alone, which is a position of era zero.
+type packedPosition uint64
+
+// revisionBits is the number of low bits of a packedPosition that hold the revision.
+const revisionBits = 44
+
+func packPosition(p follow.Position) packedPosition {
+	return packedPosition(p.Era<<revisionBits | p.Revision&(1<<revisionBits-1))
+}
+
+func (p packedPosition) position() follow.Position {
+	return follow.Position{Era: uint64(p) >> revisionBits, Revision: uint64(p) & (1<<revisionBits - 1)}
+}
+
+// withoutEra is the position for builds that do not know of eras.
+func (p packedPosition) withoutEra() packedPosition { return packedPosition(p.position().Revision) }
+
+// messageFormat is the number of the form in which a build writes its messages. It rises
+// when builds have to know of a peer that it reads something new. It travels as the number
+// of a CBOR tag around the message, which decoders skip that do not know the tag.
+type messageFormat uint32
+
+const (
+	// unnumberedFormat is that of the builds before formats had numbers.
+	unnumberedFormat messageFormat = 0
+	// incarnationsFormat is the first that names leaving targets with their start.
+	incarnationsFormat messageFormat = 1
+	// currentFormat is that of this build.
+	currentFormat = incarnationsFormat
+	// formatTag is the number of the CBOR tag of format zero.
+	formatTag uint64 = 0x6d646b00
+	// maxFormat is the largest format that the tag can hold.
+	maxFormat messageFormat = 0xff
+)
+
+// formatHeadBytes is the length of the tag's encoding: one byte and four of its number.
+const formatHeadBytes = 5
+
+// cborTag32 is the first byte of a CBOR tag whose number takes four bytes.
+const cborTag32 = 0xda
+
+// splitFormat returns the format of a message and the message without its tag.
+func splitFormat(raw []byte) (messageFormat, []byte) {
+	if len(raw) < formatHeadBytes || raw[0] != cborTag32 {
+		return unnumberedFormat, raw
+	}
+	number := uint64(binary.BigEndian.Uint32(raw[1:formatHeadBytes]))
+	if number <= formatTag || number > formatTag+uint64(maxFormat) {
+		return unnumberedFormat, raw
+	}
+	return messageFormat(number - formatTag), raw[formatHeadBytes:]
+}
+
+// newsLayout is the layout of the element for news in messages without a format number.
+type newsLayout uint8
+
+const (
+	// newsUnknown means that the peer has not sent any news yet.
+	newsUnknown newsLayout = iota
+	// newsBrokenRuns is a list of fingerprints in place of News.
+	newsBrokenRuns
+	// newsWithoutLimits is News without its last field, Limits.
+	newsWithoutLimits
+	// newsWithLimits is the layout of News in unnumberedFormat's last builds.
+	newsWithLimits
+)
+
+var newsLayoutNames = [...]string{"unknown", "broken-runs", "crashes", "limits"}
+
+func (l newsLayout) String() string { return newsLayoutNames[l] }
+
+// unnumberedDatagram is a datagram in unnumberedFormat. Its number of elements and their
+// types stay as they are: the builds that read it drop every other message.
+type unnumberedDatagram struct {
+	_             struct{} `cbor:",toarray"`
+	From, Domain  string
+	FollowsStore  bool
+	ConfigVersion uint64
+	StorePosition packedPosition
+	Peers         []netip.AddrPort
+	Gossip        unnumberedGossip
+}
+
+// unnumberedGossip is fleet.Gossip in unnumberedFormat.
+type unnumberedGossip struct {
+	_                       struct{} `cbor:",toarray"`
+	Joining, Full           bool
+	Loads                   []fleet.TargetLoad
+	FirstEvents, EndedLoads []uint64
+	FailedTargets           []string
+	News                    cbor.RawMessage // in one of several layouts; nil is null
+	LeavingTargets          []string
+}
+
+// unnumberedNews is fleet.News as newsWithLimits.
+type unnumberedNews struct {
+	_         struct{} `cbor:",toarray"`
+	Crashes   []quarantine.Crash
+	Verdicts  []quarantine.Verdict
+	Survivals []quarantine.Survival
+	Limits    []fleet.LimitReport
+}
+
+// crashNews is fleet.News as newsWithoutLimits.
+type crashNews struct {
+	_         struct{} `cbor:",toarray"`
+	Crashes   []quarantine.Crash
+	Verdicts  []quarantine.Verdict
+	Survivals []quarantine.Survival
+}
+
+// encode returns a message in the form that a peer reads.
+func (d *datagram) encode(form peerForm) ([][]byte, error) {
+	if form.format == unnumberedFormat {
+		return d.encodeUnnumbered(form)
+	}
+	raw, err := cbor.Marshal(cbor.Tag{Number: formatTag + uint64(currentFormat), Content: d})
+	if err != nil {
+		return nil, fmt.Errorf("encode a message to peers: %w", err)
+	}
+	return [][]byte{raw}, nil
+}
+
+// encodeUnnumbered returns a message for builds without format numbers. While it is not
+// known whether a peer reads news, these go in a message of their own, so that a peer
+// that does not loses nothing else.
+func (d *datagram) encodeUnnumbered(form peerForm) ([][]byte, error) {
+	g := &d.Gossip
+	u := unnumberedDatagram{
+		From: d.From, Domain: d.Domain, FollowsStore: d.FollowsStore, ConfigVersion: d.ConfigVersion,
+		StorePosition: d.StorePosition, Peers: d.Peers,
+		Gossip: unnumberedGossip{
+			Joining: g.Joining, Full: g.Full, Loads: g.Loads, FirstEvents: g.FirstEvents, EndedLoads: g.EndedLoads,
+			FailedTargets: g.FailedTargets, LeavingTargets: g.LeavingTargets,
+		},
+	}
+	for _, leaving := range g.Leaving {
+		u.Gossip.LeavingTargets = append(u.Gossip.LeavingTargets, leaving.ID)
+	}
+	if !form.eras {
+		u.StorePosition = d.StorePosition.withoutEra()
+	}
+	news, err := encodeNews(g.News, form.news)
+	if err != nil {
+		return nil, err
+	}
+	messages := []unnumberedDatagram{u}
+	if form.news == newsUnknown && news != nil {
+		u.Peers, u.Gossip = nil, unnumberedGossip{News: news}
+		messages = append(messages, u)
+	} else {
+		messages[0].Gossip.News = news
+	}
+	var encoded [][]byte
+	for i := range messages {
+		raw, err := cbor.Marshal(cbor.Tag{Number: formatTag + uint64(currentFormat), Content: &messages[i]})
+		if err != nil {
+			return nil, fmt.Errorf("encode a message to peers without format numbers: %w", err)
+		}
+		encoded = append(encoded, raw)
+	}
+	return encoded, nil
+}
+
+// encodeNews returns news in a layout, or nil if there are none or the layout has none.
+func encodeNews(n *fleet.News, layout newsLayout) (cbor.RawMessage, error) {
+	if n == nil || layout == newsBrokenRuns {
+		return nil, nil
+	}
+	var content any = unnumberedNews{Crashes: n.Crashes, Verdicts: n.Verdicts, Survivals: n.Survivals, Limits: n.Limits}
+	if layout == newsWithoutLimits {
+		content = crashNews{Crashes: n.Crashes, Verdicts: n.Verdicts, Survivals: n.Survivals}
+	}
+	raw, err := cbor.Marshal(content)
+	if err != nil {
+		return nil, fmt.Errorf("encode news to peers without format numbers: %w", err)
+	}
+	return raw, nil
+}
+
+// datagram returns the message in the form of this build, without its news.
+func (u *unnumberedDatagram) datagram() datagram {
+	return datagram{
+		From: u.From, Domain: u.Domain, FollowsStore: u.FollowsStore, ConfigVersion: u.ConfigVersion,
+		StorePosition: u.StorePosition, Peers: u.Peers,
+		Gossip: fleet.Gossip{
+			Joining: u.Gossip.Joining, Full: u.Gossip.Full, Loads: u.Gossip.Loads, FirstEvents: u.Gossip.FirstEvents,
+			EndedLoads: u.Gossip.EndedLoads, FailedTargets: u.Gossip.FailedTargets, LeavingTargets: u.Gossip.LeavingTargets,
+		},
+	}
+}
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -108,7 +108,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("start instance %q: %w", s.Name, err)
 	}
-	g, err := listenGossip(s, opts.Log)
+	g, err := listenGossip(s, metrics, opts.Log)
 	if err != nil {
 		return nil, fmt.Errorf("start instance %q: %w", s.Name, err)
 	}
