fleet: peers that may not serve relays are asked last

An instance without a path to targets sends requests to at most four peers. Builds before have no port for that: connections there are refused. With four of them asked first, a request was refused although a peer of a newer build could have served it (TestPeersThatMayNotServeRelaysAreAskedLast: "old-1" in place of "new" without this change).

Peers of which nothing shows that they serve relays now come after all others. They are still asked, since the last of these builds show it only through the era of the store, which not every store has.

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -171,7 +171,9 @@
 	// From is the name of the peer, Domain its failure domain. RelayAddress is the
 	// host:port at which it serves requests of its peers.
 	From, Domain, RelayAddress string
-	Gossip                     Gossip
+	// RelayUnproven says that the peer's build is not known to serve such requests.
+	RelayUnproven bool
+	Gossip        Gossip
 }
 
 // Reserved delivers a target's reply to Reserve.
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -72,6 +72,7 @@
 	// relayAddress is where the peer serves requests of others. relayFailures are the times
 	// at which it last could not, by service.
 	relayAddress  string
+	relayUnproven bool // see PeerGossip
 	relayFailures map[string]time.Duration
 }
 
@@ -231,7 +232,7 @@
 	if isNew || ev.Gossip.Joining {
 		c.emit(SendGossip{Peer: ev.From, Gossip: c.fullGossip(c.gossipDomainOf(p))})
 	}
-	p.lastMessageAt, p.relayAddress = c.now, ev.RelayAddress
+	p.lastMessageAt, p.relayAddress, p.relayUnproven = c.now, ev.RelayAddress, ev.RelayUnproven
 	g := &ev.Gossip
 	if g.Full {
 		keepKeys := make(map[uint64]bool, len(g.Loads))
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -43,7 +43,7 @@
 		switch {
 		case p.relayAddress == "" || c.now-p.lastMessageAt > relayPeerTimeout:
 		case failed && c.now-failedAt < relayRetryDelay:
-		case failed && c.now-failedAt < relayDoubtTime:
+		case failed && c.now-failedAt < relayDoubtTime, p.relayUnproven:
 			doubted = append(doubted, name)
 		case p.domain == c.opts.FailureDomain:
 			own = append(own, name)
--- a/internal/fleet/relay_test.go
+++ b/internal/fleet/relay_test.go
@@ -232,3 +232,15 @@
 		must.Eq(t, "", send.Relay.Address)
 	}
 }
+
+// Peers of builds that are not known to serve relays have no such port: asking them first
+// would use up the number of peers that a request is sent to.
+func TestPeersThatMayNotServeRelaysAreAskedLast(t *testing.T) {
+	h := newHarness(t, 0)
+	for i := range 6 {
+		h.step(PeerGossip{From: fmt.Sprintf("old-%d", i), Domain: "a", RelayAddress: "127.0.0.1:1", RelayUnproven: true})
+	}
+	h.step(PeerGossip{From: "new", Domain: "b", RelayAddress: "127.0.0.1:2"})
+	h.core.pathTo("app").state = pathLost
+	must.Eq(t, "new", h.lastSend(h.submit(routeIdempotent, 0)).Relay.Peer)
+}
--- a/internal/fleetnode/gossip.go
+++ b/internal/fleetnode/gossip.go
@@ -206,11 +206,21 @@
 	}
 	g.onPeerLoad(fleet.PeerGossip{
 		From: m.From, Domain: m.Domain, RelayAddress: netip.AddrPortFrom(from.Addr(), uint16(g.relayPort)).String(),
-		Gossip: m.Gossip,
+		RelayUnproven: !g.formOf(from).servesRelays(), Gossip: m.Gossip,
 	})
 	g.onMessage(from, &m.datagram)
 }
 
+// formOf returns the form that a peer reads.
+func (g *gossip) formOf(peer netip.AddrPort) peerForm {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c := g.peers[peer]; c != nil {
+		return c.form
+	}
+	return peerForm{}
+}
+
 // recordMessage updates the state of the peer that sent a message.
 func (g *gossip) recordMessage(from netip.AddrPort, d *datagram) {
 	g.mu.Lock()
--- a/internal/fleetnode/peer_build.go
+++ b/internal/fleetnode/peer_build.go
@@ -36,6 +36,10 @@
 // knowsEras reports whether the peer's positions of the store name the era.
 func (f peerForm) knowsEras() bool { return f.format > unnumberedFormat || f.eras }
 
+// servesRelays reports whether the peer's build is known to serve the requests of its
+// peers. The builds that do came together with those that know of eras.
+func (f peerForm) servesRelays() bool { return f.knowsEras() }
+
 // recordBuild updates the form that a peer reads, and logs a peer of another build at its
 // first message and whenever more becomes known of it.
 func (g *gossip) recordBuild(from netip.AddrPort, m *receivedMessage) {
