fleetnode: followers without eras do not count once eras are known

Two instances of a failure domain follow the store, the others take what is newer from them. Positions of builds that know no eras are of era zero, so an instance that has learned an era takes nothing from them. It counted them as followers nevertheless: between two of them it followed nothing and heard of no change until a follower of a newer build came (TestFollowersWithoutErasDoNotCountOnceErasAreKnown fails without this change). With a follower of another failure domain it heard up to a second late.

It now follows the store itself then. As long as it knows no era, it takes the data of such followers as before. Peers that are an era late still count: after a restore all instances would otherwise list the store at once.

--- a/internal/fleetnode/gossip.go
+++ b/internal/fleetnode/gossip.go
@@ -55,6 +55,7 @@
 	addedAt, lastMessageAt time.Time // lastMessageAt is zero before the first message
 	name, domain           string
 	followsStore           bool
+	position               follow.Position
 	// form is what the peer reads; formKnown says that it has sent a message.
 	form      peerForm
 	formKnown bool
@@ -231,6 +232,7 @@
 		g.peers[from] = c
 	}
 	c.lastMessageAt, c.name, c.domain, c.followsStore = time.Now(), d.From, d.Domain, d.FollowsStore
+	c.position = d.StorePosition.position()
 }
 
 // Limits for selecting the instances that follow the store.
@@ -247,16 +249,29 @@
 
 // shouldFollow reports whether this instance has to follow the store: it starts to
 // if fewer than followersPerDomain peers of its failure domain do, and stops if so
-// many do whose names sort before its own. A peer that joins thus replaces none.
+// many do whose names sort before its own. A peer that joins thus replaces none. Peers that
+// do not know of eras count only as long as this instance knows of none: their positions
+// would say nothing new.
 func (g *gossip) shouldFollow(following bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	followers := 0
 	for _, c := range g.peers {
-		counts := !following || c.name < g.name
+		counts := (!following || c.name < g.name) && (!c.lacksEra() || !g.knowsEra())
 		if counts && c.followsStore && c.domain == g.domain && time.Since(c.lastMessageAt) < followerTimeout {
 			followers++
 		}
 	}
 	return followers < followersPerDomain
 }
+
+// lacksEra reports whether the peer's position of the store has no era.
+func (c *peerContact) lacksEra() bool {
+	return c.position.Revision > 0 && c.position.Era == 0 && !c.form.knowsEras()
+}
+
+// knowsEra reports whether the own position of the store has an era.
+func (g *gossip) knowsEra() bool {
+	_, position := g.versions()
+	return position.Era > 0
+}
--- a/internal/fleetnode/message_test.go
+++ b/internal/fleetnode/message_test.go
@@ -137,6 +137,29 @@
 	must.Eq(t, peerForm{format: currentFormat + 1}, form)
 }
 
+// Followers that know no eras tell an instance nothing new once it knows one: if it counted
+// them, it would never hear again of targets that leave.
+func TestFollowersWithoutErasDoNotCountOnceErasAreKnown(t *testing.T) {
+	for _, c := range []struct {
+		own, position follow.Position
+		follow        bool
+	}{
+		{follow.Position{Era: 1, Revision: 70}, follow.Position{Revision: 80}, true},
+		{follow.Position{Era: 1, Revision: 70}, follow.Position{Era: 1, Revision: 80}, false},
+		{follow.Position{Era: 2, Revision: 70}, follow.Position{Era: 1, Revision: 80}, false},
+		{follow.Position{Revision: 70}, follow.Position{Revision: 80}, false},
+		{follow.Position{Era: 1, Revision: 70}, follow.Position{}, false},
+	} {
+		g := newTestGossip(0)
+		g.versions = func() (uint64, follow.Position) { return 0, c.own }
+		for i := range followersPerDomain {
+			address := netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(i+1))
+			g.recordMessage(address, &datagram{From: "front-0", Domain: "a", FollowsStore: true, StorePosition: packPosition(c.position)})
+		}
+		must.Eq(t, c.follow, g.shouldFollow(false), must.Sprintf("%+v", c))
+	}
+}
+
 // strictSnapshot is a Snapshot as builds decode it that know no eras.
 type strictSnapshot struct {
 	Config   []byte
