--- a/internal/fleetnode/peer_build.go
+++ b/internal/fleetnode/peer_build.go
@@ -27,8 +27,11 @@
 	if p := m.StorePosition.position(); p.Revision > 0 {
 		known.eras = p.Era > 0
 	}
-	if m.news != newsUnknown {
+	switch {
+	case m.news != newsUnknown:
 		known.news = m.news
+	case known.eras: // all builds that know of eras read it
+		known.news = newsWithLimits
 	}
 	return known
 }
