--- a/internal/fleetnode/message_test.go
+++ b/internal/fleetnode/message_test.go
@@ -137,6 +137,21 @@
 	must.Eq(t, peerForm{format: currentFormat + 1}, form)
 }
 
+// Builds from before relays have no port for them.
+func TestRelaysOfOlderBuildsAreUnproven(t *testing.T) {
+	for name, unproven := range map[string]bool{"234744f-joining.cbor": true, "234744f-news.cbor": true, "26e3ce8-joining.cbor": false} {
+		g := newTestGossip(0)
+		g.metrics, g.onMessage = noMetrics{}, func(netip.AddrPort, *datagram) {}
+		var heard []fleet.PeerGossip
+		g.onPeerLoad = func(p fleet.PeerGossip) { heard = append(heard, p) }
+		m, err := decodeMessage(recordedMessage(t, name))
+		must.NoError(t, err)
+		g.handleMessage(netip.MustParseAddrPort("127.0.3.2:1"), m)
+		must.Len(t, 1, heard)
+		must.Eq(t, unproven, heard[0].RelayUnproven, must.Sprint(name))
+	}
+}
+
 // Followers that know no eras tell an instance nothing new once it knows one: if it counted
 // them, it would never hear again of targets that leave.
 func TestFollowersWithoutErasDoNotCountOnceErasAreKnown(t *testing.T) {
--- a/internal/fleetnode/old_builds_test.go
+++ b/internal/fleetnode/old_builds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"os"
@@ -154,11 +155,27 @@
 	return n
 }
 
+// awayStore is a store that cannot be reached.
+type awayStore struct{}
+
+var errAway = errors.New("the store is away")
+
+func (awayStore) List(context.Context, string) ([]follow.Item, follow.Position, error) {
+	return nil, follow.Position{}, errAway
+}
+
+func (awayStore) Watch(context.Context, string, follow.Position, time.Duration) ([]follow.Item, follow.Position, error) {
+	return nil, follow.Position{}, errAway
+}
+
+func (awayStore) Put(context.Context, string, []byte) (uint64, error) { return 0, errAway }
+
 // oldBuildsTest is a current instance among scripted peers.
 type oldBuildsTest struct {
-	t    *testing.T
-	port int
-	log  logBuffer
+	t            *testing.T
+	port         int
+	exchangePort int
+	log          logBuffer
 }
 
 func freeTestPort(t *testing.T, host string) int {
@@ -174,19 +191,27 @@
 // startOldBuildsTest starts an instance that has listed the store.
 func startOldBuildsTest(t *testing.T) *oldBuildsTest {
 	t.Helper()
-	f := &oldBuildsTest{t: t, port: freeTestPort(t, testInstanceIP)}
+	f := startOldBuildsTestWithStore(t, eraStore{})
+	f.waitForLine(`"target-listed" "target"="t-5"`)
+	return f
+}
+
+func startOldBuildsTestWithStore(t *testing.T, store Store) *oldBuildsTest {
+	t.Helper()
+	f := &oldBuildsTest{t: t, port: freeTestPort(t, testInstanceIP), exchangePort: freeTestPort(t, testInstanceIP)}
 	local := func() string {
 		return net.JoinHostPort(testInstanceIP, strconv.Itoa(freeTestPort(t, testInstanceIP)))
 	}
 	i, err := Start(Options{
 		Settings: Settings{
 			Name: "front-new", FailureDomain: "a", IP: testInstanceIP, CallersAddress: local(), ReadyAddress: local(),
-			PeerPort: f.port, ExchangePort: freeTestPort(t, testInstanceIP), RelayPort: freeTestPort(t, testInstanceIP),
+			PeerPort: f.port, ExchangePort: f.exchangePort, RelayPort: freeTestPort(t, testInstanceIP),
 			MaxConfigDelay: 2 * time.Second, StopGrace: time.Second, RetryWindow: time.Second, ReservationTTL: time.Second,
 		},
-		Store: eraStore{},
+		Store: store,
 		Decoder: Decoder{
 			TargetsPrefix: "targets/",
+			Config:        func([]byte) (*fleet.Config, error) { return &fleet.Config{Version: 3}, nil },
 			TargetID:      func(key string) string { return strings.TrimPrefix(key, "targets/") },
 			Target: func(key string, _ []byte) (fleet.Target, error) {
 				return fleet.Target{ID: strings.TrimPrefix(key, "targets/"), Service: "pool", Address: key, StartedMS: 6}, nil
@@ -196,7 +221,6 @@
 	})
 	must.NoError(t, err)
 	t.Cleanup(i.Close)
-	f.waitForLine(`"target-listed" "target"="t-5"`)
 	return f
 }
 
@@ -376,3 +400,26 @@
 		}
 	}
 }
+
+// An instance that cannot reach the store takes what peers of older builds have.
+func TestSnapshotsOfOlderBuildsAreTaken(t *testing.T) {
+	for _, build := range []string{"234744f", "26e3ce8"} {
+		t.Run(build, func(t *testing.T) {
+			f := startOldBuildsTestWithStore(t, awayStore{})
+			listener, err := net.Listen("tcp4", net.JoinHostPort("127.0.3.2", strconv.Itoa(f.exchangePort)))
+			must.NoError(t, err)
+			t.Cleanup(func() { _ = listener.Close() })
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = conn.Write(recordedMessage(t, build+"-response.gob")) // the instance logs nothing without it
+			}()
+			f.newPeer("127.0.3.2").send(recordedMessage(t, build+"-joining.cbor"))
+			f.waitForLine(`"targets-from-peer"`)
+			f.waitForLine(`"target-listed" "target"="t/1"`)
+			f.waitForLine(`"configuration"`)
+		})
+	}
+}
