fleetnode: scripted peers answer a call after it has come

TestSnapshotsPassBetweenBuilds failed once under the race detector ("3" expected, "0" seen): the scripted peer sent its response before the call, and net/rpc drops a response to a call that it does not know yet.

--- a/internal/fleetnode/message_test.go
+++ b/internal/fleetnode/message_test.go
@@ -219,7 +219,7 @@
 				if err != nil {
 					return
 				}
-				_, _ = conn.Write(recordedMessage(t, build+"-response.gob")) // the client fails without it
+				answerRecorded(conn, recordedMessage(t, build+"-response.gob"))
 			}()
 			reader := newTestMirror(t, &announced)
 			reader.decoder.Config = m.decoder.Config
--- a/internal/fleetnode/old_builds_test.go
+++ b/internal/fleetnode/old_builds_test.go
@@ -401,6 +401,14 @@
 	}
 }
 
+// answerRecorded answers a call with a recorded response. The client ignores one that
+// comes before its call.
+func answerRecorded(conn net.Conn, response []byte) {
+	if _, err := conn.Read(make([]byte, 1)); err == nil {
+		_, _ = conn.Write(response) // the client fails without it
+	}
+}
+
 // An instance that cannot reach the store takes what peers of older builds have.
 func TestSnapshotsOfOlderBuildsAreTaken(t *testing.T) {
 	for _, build := range []string{"234744f", "26e3ce8"} {
@@ -414,7 +422,7 @@
 				if err != nil {
 					return
 				}
-				_, _ = conn.Write(recordedMessage(t, build+"-response.gob")) // the instance logs nothing without it
+				answerRecorded(conn, recordedMessage(t, build+"-response.gob"))
 			}()
 			f.newPeer("127.0.3.2").send(recordedMessage(t, build+"-joining.cbor"))
 			f.waitForLine(`"targets-from-peer"`)
