--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -156,7 +156,7 @@
 		return nil, fmt.Errorf("start instance %q: %w", s.Name, err)
 	}
 	i.startFollower()
-	opts.Log.Info("started", "instance", s.Name, "domain", s.FailureDomain, "callers", s.CallersAddress)
+	opts.Log.Info("started", "instance", s.Name, "domain", s.FailureDomain, "callers", s.CallersAddress, "message_format", currentFormat)
 	return i, nil
 }
 
