--- a/internal/fleetnode/message_test.go
+++ b/internal/fleetnode/message_test.go
@@ -133,6 +133,8 @@
 	must.Eq(t, peerForm{eras: true, news: newsWithLimits}, form)
 	form = newerForm(form, message("26e3ce8-news.cbor"))
 	must.Eq(t, peerForm{eras: true, news: newsWithLimits}, form)
+	form = newerForm(form, message("234744f-loads.cbor"))
+	must.Eq(t, peerForm{}, form) // another build, also if its first message was lost
 	form = newerForm(form, &receivedMessage{format: currentFormat + 1})
 	must.Eq(t, peerForm{format: currentFormat + 1}, form)
 }
@@ -152,8 +154,8 @@
 	}
 }
 
-// Followers that know no eras tell an instance nothing new once it knows one: if it counted
-// them, it would never hear again of targets that leave.
+// Followers that know no eras may tell an instance nothing new after a restore of the store:
+// if it counted them, it would not hear of targets that leave.
 func TestFollowersWithoutErasDoNotCountOnceErasAreKnown(t *testing.T) {
 	for _, c := range []struct {
 		own, position follow.Position
--- a/internal/fleetnode/peer_build.go
+++ b/internal/fleetnode/peer_build.go
@@ -25,6 +25,9 @@
 		known = peerForm{}
 	}
 	if p := m.StorePosition.position(); p.Revision > 0 {
+		if known.eras && p.Era == 0 {
+			known = peerForm{} // another build, whose first message was lost
+		}
 		known.eras = p.Era > 0
 	}
 	switch {
