fleetnode: changes of builds without eras are taken until a restore

An instance that has listed the store and is rejected by it since takes changes from its peers. Positions of builds that know no eras counted as older than every position with an era, so beside such builds only it heard of no new and no removed targets, though builds without eras did (TestRejectedInstanceTakesChangesFrom- BuildsWithoutEras/ fails without this change).

Such a position now counts as one of the known era. If it is wrong, because the store was restored without this instance's knowledge, the next position of the new era corrects it. Once the instance has seen a restore, positions without an era count as older, as before: their revisions may be those of before the restore.

--- a/internal/fleetnode/exchange.go
+++ b/internal/fleetnode/exchange.go
@@ -112,7 +112,7 @@
 func (x *snapshotExchanger) handlePeerVersions(peer netip.AddrPort, d *datagram) {
 	ownVersion, own := x.mirror.versions()
 	followsStore := x.followsStore()
-	if d.ConfigVersion <= ownVersion && (followsStore || d.StorePosition.position().Compare(own) <= 0) {
+	if d.ConfigVersion <= ownVersion && (followsStore || x.mirror.inKnownEra(d.StorePosition.position()).Compare(own) <= 0) {
 		return
 	}
 	x.mu.Lock()
@@ -152,9 +152,9 @@
 	if len(snap.Config) > 0 {
 		x.mirror.adoptConfig(snap.Config)
 	}
-	position := follow.Position{Era: snap.Era, Revision: snap.Revision}
-	if withTargets && position.Compare(known.position()) > 0 && x.mirror.advanceEra(snap.Era, snap.RestoredRevision) {
-		x.log.Info("targets-from-peer", "peer", peer.String(), "era", snap.Era, "revision", snap.Revision,
+	position := x.mirror.inKnownEra(follow.Position{Era: snap.Era, Revision: snap.Revision})
+	if withTargets && position.Compare(known.position()) > 0 && x.mirror.advanceEra(position.Era, snap.RestoredRevision) {
+		x.log.Info("targets-from-peer", "peer", peer.String(), "era", position.Era, "revision", snap.Revision,
 			"targets", len(snap.Targets), "settling", snap.Settling)
 		if snap.Settling {
 			// The own position stays unchanged, so the request is repeated until
--- a/internal/fleetnode/exchange_test.go
+++ b/internal/fleetnode/exchange_test.go
@@ -100,3 +100,17 @@
 	must.True(t, isOutdated(reader, 30))
 	must.False(t, isOutdated(reader, 31))
 }
+
+// After a restore, an instance of a build without eras may still have the revisions of
+// before, which must not count as newer.
+func TestPositionsWithoutEraAreOfTheKnownEraUntilARestore(t *testing.T) {
+	var announced int
+	m := newTestMirror(t, &announced)
+	named := follow.Position{Revision: 80}
+	must.Eq(t, named, m.inKnownEra(named))
+	m.HandleList(nil, follow.Position{Era: 1, Revision: 70})
+	must.Eq(t, follow.Position{Era: 1, Revision: 80}, m.inKnownEra(named))
+	must.Eq(t, follow.Position{Era: 3, Revision: 5}, m.inKnownEra(follow.Position{Era: 3, Revision: 5}))
+	m.HandleList(nil, follow.Position{Era: 2, Revision: 30})
+	must.Eq(t, named, m.inKnownEra(named))
+}
--- a/internal/fleetnode/gossip.go
+++ b/internal/fleetnode/gossip.go
@@ -250,8 +250,8 @@
 // shouldFollow reports whether this instance has to follow the store: it starts to
 // if fewer than followersPerDomain peers of its failure domain do, and stops if so
 // many do whose names sort before its own. A peer that joins thus replaces none. Peers that
-// do not know of eras count only as long as this instance knows of none: their positions
-// would say nothing new.
+// do not know of eras count only as long as this instance knows of none: after a restore
+// of the store they may keep to what was before.
 func (g *gossip) shouldFollow(following bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/fleetnode/mirror.go
+++ b/internal/fleetnode/mirror.go
@@ -176,6 +176,18 @@
 	return true
 }
 
+// inKnownEra returns a position that a peer names. One without an era, from a build that
+// knows none, is of the known era, unless the store has been restored since: the peer may
+// then name a revision of before.
+func (m *mirror) inKnownEra(p follow.Position) follow.Position {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p.Era == 0 && m.restoredRevision == 0 {
+		p.Era = m.era
+	}
+	return p
+}
+
 // advancePositionLocked takes over a later position; m.mu must be held.
 func (m *mirror) advancePositionLocked(position follow.Position) {
 	if position.Compare(m.position) > 0 {
--- a/internal/fleetnode/old_builds_test.go
+++ b/internal/fleetnode/old_builds_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -170,6 +171,24 @@
 
 func (awayStore) Put(context.Context, string, []byte) (uint64, error) { return 0, errAway }
 
+// rejectingStore is an eraStore that answers one list and nothing after it.
+type rejectingStore struct {
+	eraStore
+	listed *atomic.Bool
+}
+
+func (s rejectingStore) List(ctx context.Context, prefix string) ([]follow.Item, follow.Position, error) {
+	if s.listed.Swap(true) {
+		return nil, follow.Position{}, errAway
+	}
+	items, _, err := s.eraStore.List(ctx, prefix)
+	return items, follow.Position{Era: 1, Revision: 60}, err
+}
+
+func (rejectingStore) Watch(context.Context, string, follow.Position, time.Duration) ([]follow.Item, follow.Position, error) {
+	return nil, follow.Position{}, errAway
+}
+
 // oldBuildsTest is a current instance among scripted peers.
 type oldBuildsTest struct {
 	t            *testing.T
@@ -409,21 +428,25 @@
 	}
 }
 
+// serveSnapshot plays the exchange of a peer, which answers one call.
+func (f *oldBuildsTest) serveSnapshot(ip, recorded string) {
+	f.t.Helper()
+	listener, err := net.Listen("tcp4", net.JoinHostPort(ip, strconv.Itoa(f.exchangePort)))
+	must.NoError(f.t, err)
+	f.t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		if conn, err := listener.Accept(); err == nil {
+			answerRecorded(conn, recordedMessage(f.t, recorded))
+		}
+	}()
+}
+
 // An instance that cannot reach the store takes what peers of older builds have.
 func TestSnapshotsOfOlderBuildsAreTaken(t *testing.T) {
 	for _, build := range []string{"234744f", "26e3ce8"} {
 		t.Run(build, func(t *testing.T) {
 			f := startOldBuildsTestWithStore(t, awayStore{})
-			listener, err := net.Listen("tcp4", net.JoinHostPort("127.0.3.2", strconv.Itoa(f.exchangePort)))
-			must.NoError(t, err)
-			t.Cleanup(func() { _ = listener.Close() })
-			go func() {
-				conn, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				answerRecorded(conn, recordedMessage(t, build+"-response.gob"))
-			}()
+			f.serveSnapshot("127.0.3.2", build+"-response.gob")
 			f.newPeer("127.0.3.2").send(recordedMessage(t, build+"-joining.cbor"))
 			f.waitForLine(`"targets-from-peer"`)
 			f.waitForLine(`"target-listed" "target"="t/1"`)
@@ -431,3 +454,18 @@
 		})
 	}
 }
+
+// An instance that the store rejects after it has listed it would otherwise hear of no
+// change as long as all others are of builds that know no eras.
+func TestRejectedInstanceTakesChangesFromBuildsWithoutEras(t *testing.T) {
+	for _, build := range []string{"234744f", "26e3ce8"} {
+		t.Run(build, func(t *testing.T) {
+			f := startOldBuildsTestWithStore(t, rejectingStore{listed: &atomic.Bool{}})
+			f.waitForLine(`"target-listed" "target"="t-5"`)
+			f.waitForLine(`"store-unreachable"`)
+			f.serveSnapshot("127.0.3.2", build+"-response.gob")
+			f.newPeer("127.0.3.2").send(recordedMessage(t, build+"-joining.cbor"))
+			f.waitForLine(`"target-listed" "target"="t/1"`)
+		})
+	}
+}
