fleetnode: a test keeps the forms of older builds byte for byte

A field that is added to a type inside a message, such as a limit or a load, would otherwise change what builds without format numbers get, and they would drop it.

--- a/internal/fleetnode/message_test.go
+++ b/internal/fleetnode/message_test.go
@@ -114,6 +114,25 @@
 	must.Eq(t, m.datagram, read.datagram)
 }
 
+// What older builds read must not change with the types of later builds: such a message is
+// byte for byte that of the older build, behind the tag that it skips.
+func TestFormsOfOlderBuildsStayAsTheyWere(t *testing.T) {
+	for name, form := range map[string]peerForm{
+		"234744f-loads.cbor": {news: newsBrokenRuns},
+		"83621b5-news.cbor":  {news: newsWithoutLimits},
+		"7d4555b-news.cbor":  {news: newsWithLimits},
+		"26e3ce8-news.cbor":  {news: newsWithLimits, eras: true},
+	} {
+		recorded := recordedMessage(t, name)
+		m, err := decodeMessage(recorded)
+		must.NoError(t, err)
+		raw, err := m.encode(form)
+		must.NoError(t, err)
+		must.Len(t, 1, raw)
+		must.Eq(t, recorded, raw[0][formatHeadBytes:], must.Sprint(name))
+	}
+}
+
 // After a rollback the instance at an address reads less than before.
 func TestFormFollowsTheBuildAtAnAddress(t *testing.T) {
 	message := func(name string) *receivedMessage {
