--- a/internal/fleetnode/message_test.go
+++ b/internal/fleetnode/message_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/netip"
 	"net/rpc"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -89,6 +91,27 @@
 	must.Error(t, err)
 }
 
+// A malformed message must not end the process, and what is read of it is a message.
+func FuzzDecodeMessage(f *testing.F) {
+	names, err := filepath.Glob("testdata/messages/*.cbor")
+	must.NoError(f, err)
+	for _, name := range names {
+		raw, err := os.ReadFile(name)
+		must.NoError(f, err)
+		f.Add(raw)
+		f.Add(append([]byte{cborTag32, 0x6d, 0x64, 0x6b, 2}, raw...))
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		m, err := decodeMessage(raw)
+		if err != nil {
+			return
+		}
+		must.NotEq(t, "", m.From)
+		_, err = m.encode(newerForm(peerForm{}, m))
+		must.NoError(t, err)
+	})
+}
+
 // Every form of a message is read by this build as it was written.
 func TestFormsAreReadAsTheyWereWritten(t *testing.T) {
 	m, err := decodeMessage(recordedMessage(t, "26e3ce8-news.cbor"))
