Merge messages that builds of several ages read

A peer's word that a target leaves names the incarnation; ids alone come from older builds only and go through the check of what the peer has read.

--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -178,6 +178,8 @@
 	From, Domain, RelayAddress string
 	// StorePosition is up to where the peer has read the platform's store.
 	StorePosition StorePosition
+	// RelayUnproven says that the peer's build is not known to serve such requests.
+	RelayUnproven bool
 	Gossip        Gossip
 }
 
--- a/internal/fleet/target_leaving.go
+++ b/internal/fleet/target_leaving.go
@@ -96,7 +96,7 @@
 	c.log("target-leaving", "target", target.ID, "service", target.Service, "why", by.String())
 	c.incrementCounter("targets_leaving", by.String())
 	if isNews {
-		c.outbox.leavingTargets = append(c.outbox.leavingTargets, target.ID)
+		c.outbox.leavingTargets = append(c.outbox.leavingTargets, target.leavingTarget())
 		c.scheduleGossip()
 	}
 }
@@ -111,10 +111,10 @@
 	}
 }
 
-// markLeavingByPeer marks a target that a peer reports as leaving. A peer names targets by
-// their ids alone: one that has not read the present entry may mean an earlier
+// markLeavingByOlderPeer marks a target that a peer reports as leaving whose build names
+// targets by their ids alone: if it has not read the present entry, it may mean an earlier
 // incarnation.
-func (c *Core) markLeavingByPeer(id string, read StorePosition) {
+func (c *Core) markLeavingByOlderPeer(id string, read StorePosition) {
 	target := c.targets[id]
 	if target == nil || read.Revision < target.Listed.Revision || read.Era != target.Listed.Era && read.Era != noEra {
 		return
@@ -123,9 +123,9 @@
 }
 
 // tellsLeaving reports whether the peers are told that a target leaves.
-func (c *Core) tellsLeaving(id string) bool {
-	target := c.targets[id]
-	return target != nil && target.leaving && !target.gone
+func (c *Core) tellsLeaving(leaving LeavingTarget) bool {
+	target := c.targets[leaving.ID]
+	return target != nil && target.StartedMS == leaving.StartedMS && target.leaving && !target.gone
 }
 
 // takesWork reports whether a target may get anything new.
--- a/internal/fleet/target_leaving_test.go
+++ b/internal/fleet/target_leaving_test.go
@@ -276,9 +276,9 @@
 	must.Eq(t, "app-next", h.lastSend(h.submit(routeIdempotent, 0)).Target.ID)
 }
 
-// A peer names a target that leaves by its id alone. A late word of the incarnation before
-// took the next one out of service.
-func TestPeersWordOfAnEarlierIncarnationIsIgnored(t *testing.T) {
+// A peer of an older build names a target that leaves by its id alone. A late word of the
+// incarnation before took the next one out of service.
+func TestOlderPeersWordOfAnEarlierIncarnationIsIgnored(t *testing.T) {
 	h := newHarness(t, 0)
 	target := Target{
 		ID: "pool-00", Service: "pool", Address: "10.0.0.1:1", FailureDomain: "a", Slots: 16, StartedMS: 5,
@@ -314,11 +314,26 @@
 	must.False(t, h.acceptsRequests("pool-00"))
 }
 
+// A peer's word holds for the incarnation that it names, whatever the peer has read.
+func TestPeersWordHoldsForItsIncarnation(t *testing.T) {
+	h := newHarness(t, 1)
+	tell := func(startedMS int64) {
+		h.step(PeerGossip{From: "front-2", Gossip: Gossip{Leaving: []LeavingTarget{{ID: "pool-00", StartedMS: startedMS}}}})
+	}
+	tell(0)
+	tell(2)
+	must.True(t, h.acceptsRequests("pool-00"))
+	tell(1)
+	must.False(t, h.acceptsRequests("pool-00"))
+}
+
 // told lists the targets of which the last messages to the peers say that they leave.
 func (h *harness) told() []string {
 	var ids []string
 	for _, g := range h.gossips {
-		ids = append(ids, g.Gossip.LeavingTargets...)
+		for _, leaving := range g.Gossip.Leaving {
+			ids = append(ids, leaving.ID)
+		}
 	}
 	slices.Sort(ids)
 	return slices.Compact(ids)
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -96,7 +96,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("start instance %q: %w", s.Name, err)
 	}
-	g, err := listenGossip(s, opts.Log)
+	g, err := listenGossip(s, metrics, opts.Log)
 	if err != nil {
 		return nil, fmt.Errorf("start instance %q: %w", s.Name, err)
 	}
@@ -144,7 +144,7 @@
 		return nil, fmt.Errorf("start instance %q: %w", s.Name, err)
 	}
 	i.startFollower()
-	opts.Log.Info("started", "instance", s.Name, "domain", s.FailureDomain, "callers", s.CallersAddress)
+	opts.Log.Info("started", "instance", s.Name, "domain", s.FailureDomain, "callers", s.CallersAddress, "message_format", currentFormat)
 	return i, nil
 }
 
