--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -200,8 +200,8 @@
 		if !wait {
 			c.retryOrFail(a, "broken")
 		}
-	case OutcomeRecalled:
-		c.handleRecalled(a)
+	case OutcomeWithheld:
+		c.placeWithheld(a)
 	case OutcomeCallerGone:
 		c.removeAttemptLoads(a)
 		a.attemptsRun++
@@ -253,3 +253,29 @@
 	a.arrivedAtTarget = true
 	c.retryOrFail(a, ev.Outcome.String())
 }
+
+// MayStart reports whether an attempt of which nothing has been sent yet may still start.
+// Since its Send, its targets may have left or asked for quiet.
+func (c *Core) MayStart(send Send) bool {
+	if send.Relay.Address != "" {
+		return true
+	}
+	for _, h := range send.Helpers {
+		if target := c.targets[h.Target]; target == nil || !c.maySendTo(target) {
+			return false
+		}
+	}
+	target := c.targets[send.Target.ID]
+	return target != nil && target.StartedMS == send.Target.StartedMS && c.maySendTo(target)
+}
+
+func (c *Core) maySendTo(target *targetState) bool {
+	return target.takesWork() && !c.wantsQuiet(target)
+}
+
+// placeWithheld places a request again whose attempt has not reached its target. This is no
+// retry.
+func (c *Core) placeWithheld(a *activeRequest) {
+	c.removeAttemptLoads(a)
+	c.dispatch(a)
+}
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -47,6 +47,9 @@
 	// Outdated says that the platform's store has this entry from the copy that it was
 	// restored from: the target may have left since.
 	Outdated bool
+	// Listed is the position of the entry by which the platform's store named this
+	// incarnation first, as far as it is known.
+	Listed StorePosition
 }
 
 // TargetListed reports that the platform lists a new or changed target.
@@ -139,11 +142,11 @@
 	OutcomeBroken
 	// OutcomeCallerGone means that the caller's connection failed during the attempt.
 	OutcomeCallerGone
-	// OutcomeRecalled means that nothing was sent because of Recall.
-	OutcomeRecalled
+	// OutcomeWithheld means that nothing was sent, because of Core.MayStart.
+	OutcomeWithheld
 )
 
-var outcomeNames = [...]string{"complete", "failed", "not-connected", "not-run", "misdirected", "broken", "caller-gone", "recalled"}
+var outcomeNames = [...]string{"complete", "failed", "not-connected", "not-run", "misdirected", "broken", "caller-gone", "withheld"}
 
 func (o AttemptOutcome) String() string { return outcomeNames[o] }
 
@@ -173,7 +176,11 @@
 	// From is the name of the peer, Domain its failure domain. RelayAddress is the
 	// host:port at which it serves requests of its peers.
 	From, Domain, RelayAddress string
-	Gossip                     Gossip
+	// StorePosition is up to where the peer has read the platform's store.
+	StorePosition StorePosition
+	// RelayUnproven says that the peer's build is not known to serve such requests.
+	RelayUnproven bool
+	Gossip        Gossip
 }
 
 // Reserved delivers a target's reply to Reserve.
@@ -256,10 +263,6 @@
 // Cancel aborts an attempt; later events of the attempt are ignored.
 type Cancel struct{ Attempt AttemptID }
 
-// Recall ends an attempt with OutcomeRecalled if none of the request has been written yet,
-// and has no effect otherwise.
-type Recall struct{ Attempt AttemptID }
-
 // Finish ends a request. There is exactly one for each RequestArrived.
 type Finish struct {
 	Request RequestID
@@ -335,7 +338,6 @@
 
 func (Send) fleetEffect()        {}
 func (Cancel) fleetEffect()      {}
-func (Recall) fleetEffect()      {}
 func (Finish) fleetEffect()      {}
 func (Reserve) fleetEffect()     {}
 func (Release) fleetEffect()     {}
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -44,12 +45,23 @@
 	FailedTargets []string
 	// News is nil if there is none.
 	News *News
-	// LeavingTargets lists the ids of targets that are leaving.
+	// LeavingTargets lists the ids of targets that are leaving, in messages from builds
+	// that do not send Leaving.
 	LeavingTargets []string
+	// Leaving lists the incarnations of targets that are leaving.
+	Leaving []LeavingTarget
+}
+
+// LeavingTarget is an incarnation of a target that is leaving.
+type LeavingTarget struct {
+	_ struct{} `cbor:",toarray"`
+	// ID and StartedMS are those of the Target.
+	ID        string
+	StartedMS int64
 }
 
 func (g *Gossip) isEmpty() bool {
-	return !g.Full && len(g.Loads)+len(g.FirstEvents)+len(g.EndedLoads)+len(g.FailedTargets)+len(g.LeavingTargets) == 0 && g.News == nil
+	return !g.Full && len(g.Loads)+len(g.FirstEvents)+len(g.EndedLoads)+len(g.FailedTargets)+len(g.Leaving) == 0 && g.News == nil
 }
 
 // peer is another instance.
@@ -60,6 +72,7 @@
 	// relayAddress is where the peer serves requests of others. relayFailures are the times
 	// at which it last could not, by service.
 	relayAddress  string
+	relayUnproven bool // see PeerGossip
 	relayFailures map[string]time.Duration
 }
 
@@ -74,7 +87,7 @@
 type outbox struct {
 	pending           Gossip
 	changedAt         map[uint64]*targetState // the targets of the changed loads, by TargetLoad.Key
-	leavingTargets    []string
+	leavingTargets    []LeavingTarget
 	scheduled         bool // the timer of gossipDelay is running
 	due               bool // the timer has expired
 	fullGossipStarted bool // the periodic full messages have been started
@@ -133,7 +146,7 @@
 	g.Loads = selectFunc(g.Loads, func(load TargetLoad) bool { return told(load.Key) })
 	g.FirstEvents = selectFunc(g.FirstEvents, told)
 	g.EndedLoads = selectFunc(g.EndedLoads, told)
-	g.LeavingTargets = c.outbox.leavingTargets
+	g.Leaving = selectFunc(c.outbox.leavingTargets, c.tellsLeaving)
 	return g
 }
 
@@ -185,13 +198,13 @@
 				g.Loads = append(g.Loads, load)
 			}
 		}
-		if target.leaving && !target.gone {
-			g.LeavingTargets = append(g.LeavingTargets, target.ID)
+		if leaving := target.leavingTarget(); c.tellsLeaving(leaving) {
+			g.Leaving = append(g.Leaving, leaving)
 		}
 	}
 	c.stateNews(&g)
 	slices.SortFunc(g.Loads, func(a, b TargetLoad) int { return int(int64(a.Key) - int64(b.Key)) })
-	slices.Sort(g.LeavingTargets)
+	slices.SortFunc(g.Leaving, func(a, b LeavingTarget) int { return cmp.Compare(a.ID, b.ID) })
 	return g
 }
 
@@ -219,7 +232,7 @@
 	if isNew || ev.Gossip.Joining {
 		c.emit(SendGossip{Peer: ev.From, Gossip: c.fullGossip(c.gossipDomainOf(p))})
 	}
-	p.lastMessageAt, p.relayAddress = c.now, ev.RelayAddress
+	p.lastMessageAt, p.relayAddress, p.relayUnproven = c.now, ev.RelayAddress, ev.RelayUnproven
 	g := &ev.Gossip
 	if g.Full {
 		keepKeys := make(map[uint64]bool, len(g.Loads))
@@ -245,7 +258,7 @@
 			delete(p.loads, key)
 		}
 	}
-	c.applyPeerWarnings(g)
+	c.applyPeerWarnings(&ev)
 	if g.News != nil {
 		c.applyNews(ev.From, g.News)
 	}
@@ -272,16 +285,23 @@
 }
 
 // applyPeerWarnings records the failed and leaving targets that a peer reports.
-func (c *Core) applyPeerWarnings(g *Gossip) {
-	for _, id := range g.FailedTargets {
+func (c *Core) applyPeerWarnings(ev *PeerGossip) {
+	for _, id := range ev.Gossip.FailedTargets {
 		if target := c.targets[id]; target != nil {
 			target.health.recordFailure(c.now, 1, true)
 		}
 	}
-	for _, id := range g.LeavingTargets {
-		if target := c.targets[id]; target != nil && !target.leaving {
-			target.leaving = true
-			c.log("target-leaving", "target", id, "why", "told-by-peer")
+	for _, id := range ev.Gossip.LeavingTargets {
+		c.markLeavingByOlderPeer(id, ev.StorePosition)
+	}
+	for _, leaving := range ev.Gossip.Leaving {
+		if target := c.targets[leaving.ID]; target != nil && target.StartedMS == leaving.StartedMS {
+			c.markLeaving(target, leavingToldByPeer)
 		}
 	}
 }
+
+// leavingTarget names the target's incarnation to peers.
+func (t *targetState) leavingTarget() LeavingTarget {
+	return LeavingTarget{ID: t.ID, StartedMS: t.StartedMS}
+}
--- a/internal/forward/quiet.go
+++ b/internal/forward/quiet.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"errors"
 	"fmt"
 
 	"github.com/medlardeck/medlardeck/internal/fleet"
@@ -11,7 +10,6 @@
 type OrderRefusedError struct {
 	Op, Target string
 	Status     int
-	Quiet      fleet.QuietRequest
 }
 
 // Error implements error.
@@ -26,10 +24,8 @@
 	}
 }
 
-// reportRefusedOrder is reportQuiet for the error of an order, nil for none.
-func (n *Node) reportRefusedOrder(target fleet.Target, err error) {
-	var refused *OrderRefusedError
-	if errors.As(err, &refused) {
-		n.reportQuiet(target, 0, refused.Quiet)
-	}
+// reportOrderAnswer tells the decision core what the answer to an order says of its target.
+func (n *Node) reportOrderAnswer(target fleet.Target, answer OrderAnswer) {
+	n.stepLeaving(target, answer.Leaving)
+	n.reportQuiet(target, 0, answer.Quiet)
 }
