--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -273,9 +273,18 @@
 	return target.takesWork() && !c.wantsQuiet(target)
 }
 
+// maxImmediatePlacements is the number of withheld attempts of a request up to which it is
+// placed again at once.
+const maxImmediatePlacements = 3
+
 // placeWithheld places a request again whose attempt has not reached its target. This is no
 // retry.
 func (c *Core) placeWithheld(a *activeRequest) {
 	c.removeAttemptLoads(a)
+	a.withheld++
+	if a.withheld > maxImmediatePlacements {
+		c.dispatchLater(a)
+		return
+	}
 	c.dispatch(a)
 }
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -189,9 +189,12 @@
 	c.targetsByService[target.Service] = slices.Insert(pool, i, target)
 }
 
-// deleteTarget removes a target from both indexes.
+// deleteTarget removes a target from both indexes. Another incarnation that has its id by now
+// stays.
 func (c *Core) deleteTarget(target *targetState) {
-	delete(c.targets, target.ID)
+	if c.targets[target.ID] == target {
+		delete(c.targets, target.ID)
+	}
 	if c.hasSaidLeaving(target.Target) {
 		c.rememberLeaving(target.incarnation())
 	}
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -165,3 +165,33 @@
 	must.True(t, h.acceptsRequests("pool-01"))
 	must.False(t, h.acceptsRequests("pool-02"))
 }
+
+// The end of the last request at an incarnation that has left must not take the next
+// incarnation with it, which has the same id.
+func TestEndOfAFormerIncarnationKeepsTheNext(t *testing.T) {
+	h := newHarness(t, 1)
+	former := h.submit(routeShort, 500)
+	next := h.core.targets["pool-00"].Target
+	h.step(TargetRemoved{"pool-00"})
+	next.StartedMS = 2
+	h.step(TargetListed{next})
+	h.step(AttemptEnd{Attempt: h.lastSend(former).Attempt, Outcome: OutcomeComplete})
+	must.NotNil(t, h.core.targets["pool-00"])
+	id := h.submit(routeShort, 500)
+	must.True(t, h.core.MayStart(h.lastSend(id)))
+	next.State = Draining
+	h.step(TargetListed{next})
+	must.Eq(t, result.NoTarget, h.finishes[h.submit(routeShort, 500)].Code)
+}
+
+// Requests whose attempts are withheld again and again must not occupy the instance.
+func TestWithheldRequestsArePlacedAgainWithADelay(t *testing.T) {
+	h := newHarness(t, 2)
+	id := h.submit(routeShort, 500)
+	for range maxImmediatePlacements + 1 {
+		h.step(AttemptEnd{Attempt: h.lastSend(id).Attempt, Outcome: OutcomeWithheld})
+	}
+	must.Eq(t, maxImmediatePlacements+1, h.sendCount(id))
+	h.advance(placementRetryDelay)
+	must.Eq(t, maxImmediatePlacements+2, h.sendCount(id))
+}
