--- a/internal/fleetnode/exchange.go
+++ b/internal/fleetnode/exchange.go
@@ -154,14 +154,8 @@
 	}
 	position := x.mirror.inKnownEra(follow.Position{Era: snap.Era, Revision: snap.Revision})
 	if withTargets && position.Compare(known.position()) > 0 && x.mirror.advanceEra(position.Era, snap.RestoredRevision) {
+		applied := x.mirror.applyPeerTargets(snap.Targets, position, snap.Settling)
 		x.log.Info("targets-from-peer", "peer", peer.String(), "era", position.Era, "revision", snap.Revision,
-			"targets", len(snap.Targets), "settling", snap.Settling)
-		if snap.Settling {
-			// The own position stays unchanged, so the request is repeated until
-			// the peer has settled.
-			x.mirror.addPeerTargets(snap.Targets)
-			return
-		}
-		x.mirror.applyList(snap.Targets, position)
+			"targets", len(snap.Targets), "settling", snap.Settling, "applied", applied)
 	}
 }
--- a/internal/fleetnode/exchange_test.go
+++ b/internal/fleetnode/exchange_test.go
@@ -55,6 +55,24 @@
 	must.Eq(t, 0, readerAnnounced)
 }
 
+// A snapshot that a peer sends while this instance lists the store itself must not replace
+// the newer list: targets would be lost, or come back that have left.
+func TestSnapshotDoesNotReplaceANewerList(t *testing.T) {
+	var announced int
+	behind, reader := newTestMirror(t, &announced), newTestMirror(t, &announced)
+	behind.HandleList([]follow.Item{{Key: "t/1", Revision: 7}}, follow.Position{Revision: 7})
+	exchange, err := listenExchange(&Settings{IP: "127.0.0.1"}, behind, func() bool { return true }, logr.Discard())
+	must.NoError(t, err)
+	t.Cleanup(func() { must.NoError(t, exchange.listener.Close()) })
+	client := &snapshotExchanger{mirror: reader, log: logr.Discard()}
+	known := KnownVersions{} // as of the request
+	reader.HandleList([]follow.Item{{Key: "t/2", Revision: 9}}, follow.Position{Revision: 9})
+	client.fetchSnapshot(netip.MustParseAddrPort(exchange.listener.Addr().String()), known, true)
+	_, targets, position := reader.snapshot()
+	must.Eq(t, follow.Position{Revision: 9}, position)
+	must.Eq(t, []follow.Item{{Key: "t/2", Revision: 9}}, targets)
+}
+
 // An instance that missed a restore of the store, and lists it late or hears of it from
 // peers, must not replace or spread newer knowledge by that of the era before.
 func TestListOfAnEarlierEraIsIgnored(t *testing.T) {
--- a/internal/fleetnode/mirror.go
+++ b/internal/fleetnode/mirror.go
@@ -36,6 +36,9 @@
 	// onEra is called when a new era of the store becomes known.
 	onEra func(era uint64)
 
+	// applyMu is held while a list or changes are applied.
+	applyMu sync.Mutex
+
 	mu               sync.Mutex
 	storeReachable   bool
 	storeStatusKnown bool      // HandleStatus has been called
@@ -91,10 +94,29 @@
 
 // HandleList implements follow.Handler. Peers are told of the new versions.
 func (m *mirror) HandleList(items []follow.Item, position follow.Position) {
+	m.applyMu.Lock()
 	m.applyList(items, position)
+	m.applyMu.Unlock()
 	m.onList()
 }
 
+// applyPeerTargets applies a peer's targets, unless newer ones are known by now. While the
+// peer is settling, targets that it lacks stay, and so does the own position, so that the
+// request to the peer is repeated.
+func (m *mirror) applyPeerTargets(items []follow.Item, position follow.Position, settling bool) (applied bool) {
+	m.applyMu.Lock()
+	defer m.applyMu.Unlock()
+	if _, own := m.versions(); position.Compare(own) <= 0 {
+		return false
+	}
+	if settling {
+		m.addPeerTargets(items)
+	} else {
+		m.applyList(items, position)
+	}
+	return true
+}
+
 // applyList replaces the targets by those of a list of the store, which this instance
 // or a peer has read. A list of an era before the known one is ignored.
 func (m *mirror) applyList(items []follow.Item, position follow.Position) {
@@ -123,6 +145,8 @@
 
 // HandleChanges implements follow.Handler.
 func (m *mirror) HandleChanges(items []follow.Item, position follow.Position) {
+	m.applyMu.Lock()
+	defer m.applyMu.Unlock()
 	if !m.advanceEra(position.Era, position.Revision) {
 		return
 	}
