--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -65,6 +65,7 @@
 	loads                 []placedLoad // loads of the current attempt
 	attemptsRun           int          // attempts that ran or may have
 	attemptsNotRun        int          // attempts that did not run
+	withheld              int          // attempts that were not written, see MayStart
 	triedTargets          []string     // ids of targets that failed or did not run the request
 	waited                bool         // has waited for room at the targets
 	unreachableDomain     string       // domain of a target that could not be connected to
--- a/internal/fleet/stop.go
+++ b/internal/fleet/stop.go
@@ -71,10 +71,13 @@
 	case !c.stop.begun || c.now < c.stop.admitAllUntil:
 		return true
 	}
+	// Assume the longest answer that the caller allows: an answer that is cut off by the
+	// stop is lost.
 	neededTime := stopLatencyFactor * a.arrival.Route.TargetLatency
-	if e := c.engineOf(a); e != nil {
-		// Assume the longest answer that the caller allows: an answer that is cut off
-		// by the stop is lost.
+	switch e := c.engineOf(a); {
+	case e == nil && a.arrival.Route.Kind == KindStream:
+		neededTime = a.deadline - c.now
+	case e != nil:
 		neededTime += fromMS(e.prefillMS(a.arrival.PromptTokens, 1) + float64(a.arrival.MaxAnswerTokens)*e.fullStepMS())
 	}
 	return c.now+neededTime < c.stop.deadline
