fleet: a stop's checks apply to all that can still be refused, and to nothing else

Found by a review of the changes of the stop, each with a test that failed: - a silent attempt was given up although no other would be sent, and an idempotent request whose attempt had broken was failed instead of tried again: what may have run can't be refused, so the check of the time left does not apply to it (TestSilentAttemptIsNotGivenUpForARefusal, TestStoppingInstanceRetriesWhatItCannotRefuse); - a reservation that was granted too late, or a peer that was asked too late, still got the request (TestStoppingInstanceSendsNothingThatCannotEnd); - a stream that the end of the stop cuts ends as 3008 stop-running, as on the other interface.

--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -165,6 +165,10 @@
 		return
 	}
 	if peer := c.relayPeer(a); peer != "" {
+		if !c.canWaitBeforeStop(a) {
+			c.refuseOrFail(a, result.Stopping, minRetryAfter)
+			return
+		}
 		c.sendToPeer(a, peer)
 		return
 	}
--- a/internal/fleet/reserve.go
+++ b/internal/fleet/reserve.go
@@ -85,6 +85,10 @@
 		res.denied = true
 		c.log("reserve-denied", "request", a.arrival.ID, "cause", "a target wants quiet since")
 	}
+	if !c.canSendBeforeStop(a, res.placement) {
+		c.refuseOrFail(a, result.Stopping, minRetryAfter)
+		return
+	}
 	if !res.denied && res.placement.takesWork() {
 		res.granted = true
 		c.sendAttempt(a, res.placement, res.tickets)
--- a/internal/fleet/stop.go
+++ b/internal/fleet/stop.go
@@ -48,11 +48,14 @@
 			a.attemptsRun++
 			c.removeAttemptLoads(a)
 		}
-		if a.attemptsRun > 0 && !a.hasFailureAnswer {
+		switch {
+		case a.anyEventDelivered:
+			c.finishRequest(a, Finish{Code: result.StopRunning})
+		case a.attemptsRun > 0 && !a.hasFailureAnswer:
 			c.finishRequest(a, Finish{Code: result.StopAfterSend})
-			continue
+		default:
+			c.refuseOrFail(a, result.Stopping, minRetryAfter)
 		}
-		c.refuseOrFail(a, result.Stopping, minRetryAfter)
 	}
 }
 
@@ -84,9 +87,10 @@
 }
 
 // canSendBeforeStop reports whether a request that is sent now with the placement p is
-// expected to end before the process does. A stream that has begun goes on in any case.
+// expected to end before the process does. One that may have run goes on in any case: it
+// can't be refused any more.
 func (c *Core) canSendBeforeStop(a *activeRequest, p placement) bool {
-	if !c.stop.begun || a.anyEventDelivered {
+	if !c.stop.begun || a.mayHaveRun() {
 		return true
 	}
 	neededTime := stopLatencyFactor * a.arrival.Route.TargetLatency
@@ -101,7 +105,7 @@
 // stopping instance that is expected to end before the answer. Elsewhere the wait has no
 // such end, and the sooner the caller knows, the more time it has there.
 func (c *Core) canWaitBeforeStop(a *activeRequest) bool {
-	if !c.stop.begun || a.anyEventDelivered {
+	if !c.stop.begun || a.mayHaveRun() {
 		return true
 	}
 	neededTime := a.arrival.Route.TargetLatency
@@ -112,6 +116,9 @@
 	return c.now+neededTime < c.stop.deadline
 }
 
+// mayHaveRun reports whether an attempt has run at a target or may have.
+func (a *activeRequest) mayHaveRun() bool { return a.attemptsRun > 0 || a.anyEventDelivered }
+
 // expectedAnswerTokens is the usual length of an answer, or the longest that the caller
 // allows if that is less.
 func (a *activeRequest) expectedAnswerTokens(e *Engine) float64 {
--- a/internal/fleet/stop_test.go
+++ b/internal/fleet/stop_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -55,8 +56,11 @@
 	running, once := h.submit(routeIdempotent, 0), h.submit(routeNonIdempotent, 0)
 	h.endStop()
 	must.Eq(t, result.Stopping, h.finishes[waiting].Code)
+	must.Eq(t, result.StopRunning, h.finishes[streaming].Code)
 	for _, id := range []RequestID{running, once, streaming} {
-		must.Eq(t, result.StopAfterSend, h.finishes[id].Code)
+		if id != streaming {
+			must.Eq(t, result.StopAfterSend, h.finishes[id].Code)
+		}
 		must.SliceContains(t, h.cancels, h.lastSend(id).Attempt)
 	}
 	must.True(t, h.core.IdleFor(0))
@@ -117,3 +121,44 @@
 	must.Eq(t, 2, h.sendCount(id))
 	must.Eq(t, "3", h.lastSend(id).ResumeAfter)
 }
+
+// A silent target may still answer: its attempt is given up for another one only.
+func TestSilentAttemptIsNotGivenUpForARefusal(t *testing.T) {
+	h := newHarness(t, 1)
+	id := h.submit(routeIdempotent, 0)
+	h.step(Stop{BalancerDelay: 500 * time.Millisecond, GracePeriod: 1300 * time.Millisecond})
+	h.advance(1250 * time.Millisecond)
+	_, ended := h.finishes[id]
+	must.False(t, ended)
+}
+
+// A request that may have run can't be refused any more: another attempt is the better end.
+func TestStoppingInstanceRetriesWhatItCannotRefuse(t *testing.T) {
+	h := newHarness(t, 1)
+	id := h.submit(routeIdempotent, 0)
+	h.advance(800 * time.Millisecond)
+	h.step(Stop{BalancerDelay: 100 * time.Millisecond, GracePeriod: 500 * time.Millisecond})
+	h.step(AttemptEnd{Attempt: h.lastSend(id).Attempt, Outcome: OutcomeBroken})
+	must.Eq(t, 2, h.sendCount(id))
+}
+
+// A reservation may be granted too late for its request, and a peer may be asked too late.
+func TestStoppingInstanceSendsNothingThatCannotEnd(t *testing.T) {
+	h := newHarness(t, 4)
+	reserved := h.submit(routeLong, 400_000)
+	h.step(Stop{BalancerDelay: 100 * time.Millisecond, GracePeriod: 2 * time.Second})
+	h.advance(1900 * time.Millisecond)
+	for _, r := range slices.Clone(h.reserves) {
+		h.step(Reserved{Request: reserved, Target: r.Target.ID, Granted: true})
+	}
+	must.Eq(t, 0, h.sendCount(reserved))
+	must.Eq(t, result.Stopping, h.finishes[reserved].Code)
+
+	h = newHarness(t, 4)
+	h.step(PeerGossip{From: "front-2", Domain: "a", RelayAddress: "10.1.0.2:7342"})
+	h.core.losePath(h.core.pathTo("app"))
+	h.step(Stop{BalancerDelay: 100 * time.Millisecond, GracePeriod: 110 * time.Millisecond})
+	relayed := h.submit(routeIdempotent, 0)
+	must.Eq(t, 0, h.sendCount(relayed))
+	must.Eq(t, result.Stopping, h.finishes[relayed].Code)
+}
