drainconn, fleetnode: what a review of the stop has shown

Each with a test that failed before: - a running request over HTTP/2 was cut with the idle connections if it was the first on its connection, and frames that belong to no request kept idle connections open to the end of a stop (serve only; TestHTTP2RequestIsNotCutByTheCloseOfIdleConnections, TestIdleHTTP2ConnectionIsClosed). Over HTTP/2, and for connections that were never used over TLS, the server's own states tell now; - stopped cut_short=true was written though all callers had their answers, since the server keeps a connection for half a second after a body that it has not read.

Tests that guard the lines of the fix one by one: TestConnectionBeingAcceptedIsCounted, TestRequestsThatOutlastAStopGetAnAnswer, and a time bound in TestUnusedConnectionsAreClosedUnlessTheyAreNew, which passed without the close since the header time-out came after ten seconds.

--- a/internal/drainconn/drainconn.go
+++ b/internal/drainconn/drainconn.go
@@ -80,17 +80,27 @@
 		conn = overTLS.NetConn()
 	}
 	c, ok := conn.(*drainedConn)
-	if !ok || state != http.StateIdle {
+	if !ok {
 		return
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	c.setIdle(isTLS)
-	if l.draining {
-		_ = c.closeIfIdle()
+	switch state {
+	case http.StateNew:
+		c.setTLS(isTLS)
+	case http.StateActive:
+		c.setActive()
+	case http.StateIdle:
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		c.setIdle(isTLS && overTLS.ConnectionState().NegotiatedProtocol == protocolHTTP2)
+		if l.draining {
+			_ = c.closeIfIdle()
+		}
 	}
 }
 
+// protocolHTTP2 is the name by which callers ask for HTTP/2 in the TLS handshake.
+const protocolHTTP2 = "h2"
+
 // CloseIdle closes the connections that wait for a next request, and from now on those
 // that would. Connections that have been open for unusedFor without bringing a request are
 // closed too.
@@ -123,8 +133,8 @@
 	defer l.mu.Unlock()
 	var n Counts
 	for c := range l.conns {
-		switch started, idle := c.state(); {
-		case !started:
+		switch used, idle := c.state(); {
+		case !used:
 			n.Unused++
 		case idle:
 			n.Idle++
@@ -141,22 +151,46 @@
 	listener   *Listener
 	acceptedAt time.Time
 	mu         sync.Mutex
-	started    bool // a byte has been read
+	bytesRead  bool // a byte has been read, perhaps of the TLS handshake
+	requested  bool // the server has read of a request
 	idle       bool // a request has ended, and no byte of the next has been read
 	isTLS      bool // bytes of a next request may be in the TLS layer while it is idle
+	isHTTP2    bool // bytes need not be of a request
 	closing    bool // a read that gets no byte ends the connection
 }
 
-func (c *drainedConn) state() (started, idle bool) {
+func (c *drainedConn) state() (used, idle bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isUsed(), c.idle
+}
+
+// isUsed reports whether bytes of a request have been read. c.mu must be held.
+func (c *drainedConn) isUsed() bool {
+	if c.isTLS {
+		return c.requested
+	}
+	return c.bytesRead
+}
+
+func (c *drainedConn) setTLS(isTLS bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isTLS = isTLS
+}
+
+// setActive notes that the server has read of a request.
+func (c *drainedConn) setActive() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.started, c.idle
+	c.requested, c.idle = true, false
+	c.keepLocked()
 }
 
-func (c *drainedConn) setIdle(isTLS bool) {
+func (c *drainedConn) setIdle(isHTTP2 bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle, c.isTLS = true, isTLS
+	c.idle, c.isHTTP2 = true, isHTTP2
 }
 
 // closeIfIdle closes the connection if it is idle, and reports whether it is.
@@ -173,18 +207,17 @@
 func (c *drainedConn) closeIfUnused() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.started {
+	if !c.isUsed() {
 		c.closeLocked()
 	}
 }
 
 // closeLocked lets the pending read fail, on which the server closes the connection. If
-// bytes of a request arrive first, the request is served. The server may have got the
-// beginning of a request from the TLS layer already: then the rest has tlsRequestTime to
-// arrive. c.mu must be held.
+// bytes of a request arrive first, the request is served. c.mu must be held.
 func (c *drainedConn) closeLocked() {
 	deadline := time.Unix(1, 0)
 	if c.isTLS {
+		// The server may have got the beginning of a request from the TLS layer already.
 		if c.closing {
 			return // its time runs already
 		}
@@ -205,12 +238,20 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.started, c.idle = true, false
+	c.bytesRead = true
+	if !c.isHTTP2 {
+		c.idle = false
+		c.keepLocked()
+	}
+	return n, err
+}
+
+// keepLocked keeps a connection open that was being closed. c.mu must be held.
+func (c *drainedConn) keepLocked() {
 	if c.closing {
 		c.closing = false
 		_ = c.TCPConn.SetReadDeadline(time.Time{}) // a broken connection fails at the next read
 	}
-	return n, err
 }
 
 func (c *drainedConn) isClosing() bool {
@@ -239,8 +280,9 @@
 
 // SetReadDeadline implements net.Conn. It does not replace the deadline of a connection
 // that is being closed. http.Server, which has time-outs for idle connections and for
-// heads, removes the deadline only when it has read a whole head. That request may have
-// been read together with the one before, so that no read has shown it.
+// heads, removes the deadline of no connection that waits for a request, but after each
+// head. That request may have been read together with the one before, so that no read has
+// shown it.
 func (c *drainedConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/fleetnode/stop.go
+++ b/internal/fleetnode/stop.go
@@ -23,7 +23,7 @@
 	// closes. If all instances of a domain stop, callers keep arriving.
 	idlePeriod       = 300 * time.Millisecond
 	idlePollInterval = 50 * time.Millisecond
-	// listenerCloseMargin is how long before the end of a stop the listener
+	// listenerCloseMargin is how long before open requests are ended the listener
 	// closes at the latest, so that requests accepted before can end.
 	listenerCloseMargin = 1500 * time.Millisecond
 	// newConnGrace is how long after its acceptance a connection may still bring its first
@@ -73,7 +73,8 @@
 }
 
 // Stop ends the instance without interrupting requests, as far as the grace period
-// allows. Every request that has been read gets an answer before its connection is closed.
+// allows. A request that has been read gets an answer before its connection is closed,
+// unless its answer has begun and lasts too long, or its caller does not take it.
 func (i *Instance) Stop() {
 	i.opts.Log.Info("stopping", "instance", i.opts.Settings.Name)
 	begin := time.Now()
@@ -99,7 +100,7 @@
 		i.closeIdle(0)
 		return i.connections().Total() == 0
 	})
-	i.logConnections("stopped", "instance", i.opts.Settings.Name, "cut_short", i.connections().InUse > 0)
+	i.logConnections("stopped", "instance", i.opts.Settings.Name, "unanswered", i.node.Unanswered())
 	i.Close()
 }
 
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -21,8 +21,8 @@
 // time, so that their callers get a refusal before the connections are closed.
 type bodyReads struct {
 	mu        sync.Mutex
-	readers   map[*http.ResponseController]bool
-	stopAt    time.Time // zero while no stop is in progress
+	readers   map[*http.ResponseController]time.Time // with their deadlines
+	stopAt    time.Time                              // zero while no stop is in progress
 	stopBegun bool
 }
 
@@ -35,7 +35,7 @@
 	if b.stopBegun && b.stopAt.Before(deadline) {
 		deadline = b.stopAt
 	}
-	b.readers[rc] = true
+	b.readers[rc] = deadline
 	_ = rc.SetReadDeadline(deadline) // a broken connection fails at the next read
 	return func() {
 		b.mu.Lock()
@@ -53,11 +53,10 @@
 		return
 	}
 	b.stopBegun, b.stopAt = true, at
-	if time.Until(at) > bodyTimeout {
-		return
-	}
-	for rc := range b.readers {
-		_ = rc.SetReadDeadline(at)
+	for rc, deadline := range b.readers {
+		if at.Before(deadline) {
+			_ = rc.SetReadDeadline(at)
+		}
 	}
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -103,6 +104,8 @@
 	pool  *pool
 	// bodies are the bodies that are being read.
 	bodies bodyReads
+	// unanswered is the number of requests whose answers are not written yet.
+	unanswered atomic.Int64
 
 	mu               sync.Mutex
 	core             *fleet.Core
@@ -125,7 +128,7 @@
 	n := &Node{
 		opts: opts, clock: newClock(), pool: newPool(), core: fleet.New(opts.Fleet),
 		exchanges: make(map[fleet.RequestID]*exchange), attempts: make(map[fleet.AttemptID]*exchange),
-		bodies: bodyReads{readers: make(map[*http.ResponseController]bool)}, configured: make(chan struct{}), ctx: ctx, cancel: cancel, timerDue: -1,
+		bodies: bodyReads{readers: make(map[*http.ResponseController]time.Time)}, configured: make(chan struct{}), ctx: ctx, cancel: cancel, timerDue: -1,
 	}
 	n.mu.Lock() // the timer fires at once, and its Step resets n.timer
 	defer n.mu.Unlock()
@@ -205,6 +208,9 @@
 	return n.core.IdleFor(period)
 }
 
+// Unanswered returns the number of requests whose answers are not written yet.
+func (n *Node) Unanswered() int { return int(n.unanswered.Load()) }
+
 // Stopping reports whether a planned stop has begun.
 func (n *Node) Stopping() bool {
 	n.mu.Lock()
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -28,6 +28,8 @@
 
 // serve handles one request of a caller, or of a peer if it has attempts left.
 func (n *Node) serve(w http.ResponseWriter, r *http.Request, attemptsLeft int) {
+	n.unanswered.Add(1)
+	defer n.unanswered.Add(-1)
 	metadata := n.opts.HeaderCodec.ReadRequest(r.Header)
 	n.awaitConfig(r.Context())
 	config, stale := n.Config()
