--- a/internal/drainconn/drainconn.go
+++ b/internal/drainconn/drainconn.go
@@ -93,7 +93,7 @@
 		defer l.mu.Unlock()
 		c.setIdle(isTLS && overTLS.ConnectionState().NegotiatedProtocol == protocolHTTP2)
 		if l.draining {
-			_ = c.closeIfIdle()
+			_ = c.endReadIfIdle()
 		}
 	}
 }
@@ -109,8 +109,8 @@
 	defer l.mu.Unlock()
 	l.draining = true
 	for c := range l.conns {
-		if !c.closeIfIdle() && time.Since(c.acceptedAt) >= unusedFor {
-			c.closeIfUnused()
+		if !c.endReadIfIdle() && time.Since(c.acceptedAt) >= unusedFor {
+			c.endReadIfUnused()
 		}
 	}
 }
@@ -156,7 +156,7 @@
 	idle       bool // a request has ended, and no byte of the next has been read
 	isTLS      bool // bytes of a next request may be in the TLS layer while it is idle
 	isHTTP2    bool // bytes need not be of a request
-	closing    bool // a read that gets no byte ends the connection
+	endingRead bool // a read that gets no byte ends the connection
 }
 
 func (c *drainedConn) state() (used, idle bool) {
@@ -193,44 +193,44 @@
 	c.idle, c.isHTTP2 = true, isHTTP2
 }
 
-// closeIfIdle closes the connection if it is idle, and reports whether it is.
-func (c *drainedConn) closeIfIdle() bool {
+// endReadIfIdle closes the connection if it is idle, and reports whether it is.
+func (c *drainedConn) endReadIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idle {
-		c.closeLocked()
+		c.endReadLocked()
 	}
 	return c.idle
 }
 
-// closeIfUnused closes a connection that has not brought a byte.
-func (c *drainedConn) closeIfUnused() {
+// endReadIfUnused closes a connection that has not brought a byte.
+func (c *drainedConn) endReadIfUnused() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.isUsed() {
-		c.closeLocked()
+		c.endReadLocked()
 	}
 }
 
-// closeLocked lets the pending read fail, on which the server closes the connection. If
+// endReadLocked lets the pending read fail, on which the server closes the connection. If
 // bytes of a request arrive first, the request is served. c.mu must be held.
-func (c *drainedConn) closeLocked() {
+func (c *drainedConn) endReadLocked() {
 	deadline := time.Unix(1, 0)
 	if c.isTLS {
 		// The server may have got the beginning of a request from the TLS layer already.
-		if c.closing {
+		if c.endingRead {
 			return // its time runs already
 		}
 		deadline = time.Now().Add(tlsRequestTime)
 	}
-	c.closing = true
+	c.endingRead = true
 	_ = c.TCPConn.SetReadDeadline(deadline) // a broken connection ends without it
 }
 
 // Read implements net.Conn.
 func (c *drainedConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.isClosing() {
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.isEndingRead() {
 		n, err = c.readArrived(p, err)
 	}
 	if n == 0 {
@@ -248,16 +248,16 @@
 
 // keepLocked keeps a connection open that was being closed. c.mu must be held.
 func (c *drainedConn) keepLocked() {
-	if c.closing {
-		c.closing = false
+	if c.endingRead {
+		c.endingRead = false
 		_ = c.TCPConn.SetReadDeadline(time.Time{}) // a broken connection fails at the next read
 	}
 }
 
-func (c *drainedConn) isClosing() bool {
+func (c *drainedConn) isEndingRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.closing
+	return c.endingRead
 }
 
 // readArrived reads bytes that arrived before the connection was closed: a read that begins
@@ -287,9 +287,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if t.IsZero() {
-		c.idle, c.closing = false, false
+		c.idle, c.endingRead = false, false
 	}
-	if c.closing {
+	if c.endingRead {
 		return nil
 	}
 	return c.TCPConn.SetReadDeadline(t)
--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -224,8 +224,9 @@
 // handleNotRun retries the request after the target answered that it did not run
 // it. The failedTarget is the helper that the answer names, or else the target itself: it
 // is marked as gone if another target has its address now; otherwise the failure
-// counts against its health, unless the target asked for quiet. If a helper in another failure domain failed, a cut may
-// lie between the two, and the request is placed in the own domain only.
+// counts against its health, unless the target asked for quiet. If a helper in another
+// failure domain failed, a cut may lie between the two, and the request is placed in the
+// own domain only.
 func (c *Core) handleNotRun(a *activeRequest, ev AttemptEnd) {
 	failedTarget := a.target
 	if ev.FailedAddress != "" && ev.FailedAddress != a.target.Address {
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -131,7 +131,7 @@
 	if c.refuseRelayed(a) {
 		return
 	}
-	if !c.canFinishBeforeStop(a) {
+	if !c.canFinishBeforeStopEnds(a) {
 		c.finishRequest(a, Finish{Code: result.Stopping, RetryAfter: minRetryAfter})
 		return
 	}
@@ -165,7 +165,7 @@
 		return
 	}
 	if peer := c.relayPeer(a); peer != "" {
-		if !c.canWaitBeforeStop(a) {
+		if !c.canWaitBeforeStopEnds(a) {
 			c.refuseOrFail(a, result.Stopping, minRetryAfter)
 			return
 		}
@@ -186,7 +186,7 @@
 		c.refuseOrFail(a, result.DeadlineUnmet, min(maxRetryAfter, max(minRetryAfter, fromMS(p.firstEventMS))))
 	case p.primary == nil:
 		c.refuseOrFail(a, result.NoTarget, c.retryAfterNoTarget(a))
-	case !c.canSendBeforeStop(a, p):
+	case !c.canSendBeforeStopEnds(a, p):
 		c.refuseOrFail(a, result.Stopping, minRetryAfter)
 	case p.needsTickets:
 		c.takeLimitToken(p.primary)
@@ -246,7 +246,7 @@
 // dispatchLater dispatches the request again after placementRetryDelay, unless a stop
 // leaves no time for that.
 func (c *Core) dispatchLater(a *activeRequest) {
-	if !c.canWaitBeforeStop(a) {
+	if !c.canWaitBeforeStopEnds(a) {
 		c.refuseOrFail(a, result.Stopping, minRetryAfter)
 		return
 	}
--- a/internal/fleet/reserve.go
+++ b/internal/fleet/reserve.go
@@ -85,7 +85,7 @@
 		res.denied = true
 		c.log("reserve-denied", "request", a.arrival.ID, "cause", "a target wants quiet since")
 	}
-	if !c.canSendBeforeStop(a, res.placement) {
+	if !c.canSendBeforeStopEnds(a, res.placement) {
 		c.refuseOrFail(a, result.Stopping, minRetryAfter)
 		return
 	}
--- a/internal/fleet/stop.go
+++ b/internal/fleet/stop.go
@@ -64,10 +64,10 @@
 	return len(c.requests) == 0 && c.now-c.lastArrivalAt >= minIdle
 }
 
-// canFinishBeforeStop reports whether a request that arrives may be admitted: always while
+// canFinishBeforeStopEnds reports whether a request that arrives may be admitted: always while
 // no stop is in progress or the balancer may not have noticed it yet, afterwards only
 // if the request is expected to end before the process does.
-func (c *Core) canFinishBeforeStop(a *activeRequest) bool {
+func (c *Core) canFinishBeforeStopEnds(a *activeRequest) bool {
 	switch {
 	case c.stop.ended:
 		return false
@@ -86,10 +86,10 @@
 	return c.now+neededTime < c.stop.deadline
 }
 
-// canSendBeforeStop reports whether a request that is sent now with the placement p is
+// canSendBeforeStopEnds reports whether a request that is sent now with the placement p is
 // expected to end before the process does. One that may have run goes on in any case: it
 // can't be refused any more.
-func (c *Core) canSendBeforeStop(a *activeRequest, p placement) bool {
+func (c *Core) canSendBeforeStopEnds(a *activeRequest, p placement) bool {
 	if !c.stop.begun || a.mayHaveRun() {
 		return true
 	}
@@ -101,10 +101,10 @@
 	return c.now+neededTime < c.stop.deadline
 }
 
-// canWaitBeforeStop reports whether a request may wait for a later placement: not in a
+// canWaitBeforeStopEnds reports whether a request may wait for a later placement: not in a
 // stopping instance that is expected to end before the answer. Elsewhere the wait has no
 // such end, and the sooner the caller knows, the more time it has there.
-func (c *Core) canWaitBeforeStop(a *activeRequest) bool {
+func (c *Core) canWaitBeforeStopEnds(a *activeRequest) bool {
 	if !c.stop.begun || a.mayHaveRun() {
 		return true
 	}
