platform, fleet: a change of the configuration costs what it changes, in slices

What callers saw: a stream beside a change of a configuration with 1,600 routes stood still for 10 to 23 ms, with 24,000 for up to 57 ms, on a single processor. At 0.6 of a core these come together with the times in which the process doesn't run.

Cause: each version was decoded whole, with all routes, keys and indexes built again, in a single run. Go takes a run off its processor only after 10 ms, and polls the network only each 10 ms while anything is runnable.

Routes and workspaces are shared by pointer, and so are the shards of the indexes in which nothing differs. A route is found by its prefix instead of by a walk through all routes of its host.

Ruled out: runtime.Gosched between the pieces (the network is polled when nothing is runnable, so late by up to 10 ms); json.Decoder piece by piece (a pass of 5 ns a byte over what has not changed).

Config.Routes and Config.Workspaces are lists of pointers now; tests are changed in form only. The fleet world of the tests learns requests that are admitted by the configuration of their instance.

--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -17,9 +17,9 @@
 					h.submit(routeShort, 3000)
 					h.advance(10 * time.Millisecond)
 				}
-				route := &h.config.Routes[routeLong]
+				route := h.config.Routes[routeLong]
 				if name == "short" {
-					route = &h.config.Routes[routeShort]
+					route = h.config.Routes[routeShort]
 				}
 				a := &activeRequest{
 					arrival: RequestArrived{Route: route, Config: h.config, PromptTokens: prompt, MaxAnswerTokens: 500},
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -5,8 +5,6 @@
 package fleet
 
 import (
-	"cmp"
-	"slices"
 	"strings"
 	"time"
 )
@@ -115,50 +113,121 @@
 	Priority *int // overrides the route's priority unless nil
 }
 
-// Config is one version of the operators' configuration.
+// Config is one version of the operators' configuration. It is not changed once its indexes
+// are built.
 type Config struct {
 	Version    uint64
-	Routes     []Route
+	Routes     []*Route
 	Services   map[string]*Service
-	Workspaces []Workspace
+	Workspaces []*Workspace
 	Limits     Limits
 
-	routesByHost    map[string][]*Route
-	workspacesByKey map[string]*Workspace
+	routes          *index[*Route]     // by routeKey
+	workspaces      *index[*Workspace] // by API key
+	maxPrefixLength int                // no prefix of a route is longer
+	// duplicates says that several routes or workspaces have the same key in an index.
+	duplicates bool
 }
 
 // BuildIndexes builds the indexes that Match and Authenticate use; call it once before
 // the configuration is used.
-func (c *Config) BuildIndexes() {
-	c.routesByHost = make(map[string][]*Route)
-	for i := range c.Routes {
-		r := &c.Routes[i]
-		c.routesByHost[r.Host] = append(c.routesByHost[r.Host], r)
+func (c *Config) BuildIndexes() { c.BuildIndexesFrom(nil, func() {}) }
+
+// BuildIndexesFrom is BuildIndexes for a configuration that shares routes and workspaces
+// with base, another version. The work grows with what differs between the two. It calls
+// pause often, so that long work can be interrupted.
+func (c *Config) BuildIndexesFrom(base *Config, pause func()) {
+	if base == nil || base.duplicates {
+		base = &Config{}
 	}
-	for _, routes := range c.routesByHost {
-		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	c.buildIndexes(base, pause)
+	if c.duplicates { // which of them counts depends on the order of all
+		c.buildIndexes(&Config{}, pause)
 	}
-	c.workspacesByKey = make(map[string]*Workspace)
-	for i := range c.Workspaces {
-		for _, key := range c.Workspaces[i].Keys {
-			c.workspacesByKey[key] = &c.Workspaces[i]
+}
+
+func (c *Config) buildIndexes(base *Config, pause func()) {
+	c.duplicates, c.maxPrefixLength = false, base.maxPrefixLength
+	c.indexRoutes(base, pause)
+	c.indexWorkspaces(base, pause)
+}
+
+// indexRoutes builds the index of the routes. Of several with the same host and prefix the
+// first one counts.
+func (c *Config) indexRoutes(base *Config, pause func()) {
+	b := newIndexBuilder(base.routes)
+	same, sameEnd := commonEnds(base.Routes, c.Routes)
+	for _, r := range base.Routes[same : len(base.Routes)-sameEnd] {
+		pause()
+		delete(b.shard(r.key()), r.key())
+	}
+	for _, r := range c.Routes[same : len(c.Routes)-sameEnd] {
+		pause()
+		c.maxPrefixLength = max(c.maxPrefixLength, len(r.Prefix))
+		shard := b.shard(r.key())
+		if _, ok := shard[r.key()]; ok {
+			c.duplicates = true
+			continue
+		}
+		shard[r.key()] = r
+	}
+	c.routes = b.index
+}
+
+// indexWorkspaces builds the index of the API keys. Of several workspaces with the same key
+// the last one counts.
+func (c *Config) indexWorkspaces(base *Config, pause func()) {
+	b := newIndexBuilder(base.workspaces)
+	same, sameEnd := commonEnds(base.Workspaces, c.Workspaces)
+	for _, w := range base.Workspaces[same : len(base.Workspaces)-sameEnd] {
+		for _, key := range w.Keys {
+			pause()
+			delete(b.shard(key), key)
+		}
+	}
+	for _, w := range c.Workspaces[same : len(c.Workspaces)-sameEnd] {
+		for _, key := range w.Keys {
+			pause()
+			shard := b.shard(key)
+			if _, ok := shard[key]; ok {
+				c.duplicates = true
+			}
+			shard[key] = w
 		}
 	}
+	c.workspaces = b.index
 }
 
+// routeKey identifies the routes that match the same requests.
+func routeKey(host, prefix string) string { return host + "\x00" + prefix }
+
+func (r *Route) key() string { return routeKey(r.Host, r.Prefix) }
+
 // Match returns the route of the host with the longest matching prefix of the
 // path, or nil if none matches.
 func (c *Config) Match(host, path string) *Route {
-	for _, r := range c.routesByHost[host] {
-		if strings.HasPrefix(path, r.Prefix) {
+	path = path[:min(len(path), c.maxPrefixLength)]
+	key := routeKey(host, path)
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r, ok := c.routes.get(key[:len(key)-len(path)+end+1]); ok {
 			return r
 		}
 	}
 	return nil
 }
 
+// version returns the route that has the host and the prefix of r in this configuration, or
+// nil if there is none.
+func (c *Config) version(r *Route) *Route {
+	v, _ := c.routes.get(r.key())
+	return v
+}
+
 // Authenticate returns the workspace that the API key belongs to, or nil.
-func (c *Config) Authenticate(key string) *Workspace { return c.workspacesByKey[key] }
+func (c *Config) Authenticate(key string) *Workspace {
+	w, _ := c.workspaces.get(key)
+	return w
+}
 
 // RequiresKeys reports whether the configuration requires API keys.
 func (c *Config) RequiresKeys() bool { return len(c.Workspaces) > 0 }
--- a/internal/fleet/crash_test.go
+++ b/internal/fleet/crash_test.go
@@ -289,7 +289,7 @@
 	}
 	submit := func(request RequestID, fingerprint uint64) int {
 		h.step(RequestArrived{
-			Request: request, Route: &h.config.Routes[routeShort], Config: h.config, Deadline: h.now + time.Second, PromptTokens: 100,
+			Request: request, Route: h.config.Routes[routeShort], Config: h.config, Deadline: h.now + time.Second, PromptTokens: 100,
 			Fingerprint: fingerprint, SharedParts: []uint64{7},
 		})
 		return h.sendCount(request)
@@ -315,7 +315,7 @@
 		h.advance(2 * time.Second)
 		h.lastRequestID++
 		h.step(RequestArrived{
-			Request: h.lastRequestID, Route: &h.config.Routes[routeShort], Config: h.config, Deadline: h.now + time.Second,
+			Request: h.lastRequestID, Route: h.config.Routes[routeShort], Config: h.config, Deadline: h.now + time.Second,
 			PromptTokens: 100, Fingerprint: uint64(h.lastRequestID), SharedParts: []uint64{crashingPart},
 		})
 		must.Eq(t, 1, h.sendCount(h.lastRequestID), must.Sprintf("request %d", i))
--- a/internal/fleet/harness_test.go
+++ b/internal/fleet/harness_test.go
@@ -41,7 +41,7 @@
 	})
 	h.config = &Config{Version: 1, Services: map[string]*Service{
 		"pool": {Name: "pool", Engine: testEngine()}, "app": {Name: "app"},
-	}, Routes: []Route{
+	}, Routes: []*Route{
 		{Name: "short", Kind: KindStream, Resumable: true, Timeout: 10 * time.Second, TargetLatency: 300 * time.Millisecond, MaxEventGap: 250 * time.Millisecond, CallerTimeout: 2 * time.Second, MaxAttempts: 2, Backends: []Backend{{"pool", 1}}},
 		{Name: "long", Kind: KindStream, Resumable: true, Timeout: 15 * time.Second, TargetLatency: 3 * time.Second, MaxEventGap: time.Second, CallerTimeout: 12 * time.Second, MaxAttempts: 2, Backends: []Backend{{"pool", 1}}},
 		{Name: "book", Kind: KindNonIdempotent, Timeout: 2 * time.Second, TargetLatency: 300 * time.Millisecond, MaxAttempts: 2, Backends: []Backend{{"app", 1}}},
@@ -112,7 +112,7 @@
 func (h *harness) submitWithAnswerLimit(route, prompt, answer int) RequestID {
 	h.lastRequestID++
 	h.step(RequestArrived{
-		Request: h.lastRequestID, ID: fmt.Sprint(h.lastRequestID), Route: &h.config.Routes[route], Config: h.config,
+		Request: h.lastRequestID, ID: fmt.Sprint(h.lastRequestID), Route: h.config.Routes[route], Config: h.config,
 		Deadline: h.now + h.config.Routes[route].Timeout, PromptTokens: prompt, MaxAnswerTokens: answer,
 		Fingerprint: uint64(h.lastRequestID),
 	})
--- a/internal/fleet/quiet_test.go
+++ b/internal/fleet/quiet_test.go
@@ -172,7 +172,7 @@
 		h.submit(routeLong, 130_000)
 		h.lastRequestID++
 		h.step(RequestArrived{
-			Request: h.lastRequestID, Route: &h.config.Routes[routeShort], Config: h.config, Deadline: h.now + time.Second,
+			Request: h.lastRequestID, Route: h.config.Routes[routeShort], Config: h.config, Deadline: h.now + time.Second,
 			PromptTokens: 2000, MaxAnswerTokens: 100, Fingerprint: uint64(i), Relayed: true, AttemptsLeft: 1,
 		})
 		h.advance(100 * time.Millisecond)
--- a/internal/fleet/relay_test.go
+++ b/internal/fleet/relay_test.go
@@ -40,14 +40,41 @@
 		peer := relay.peer
 		peer.lastID++
 		relay.request = peer.lastID
-		peer.requests[peer.lastID] = &worldRequest{route: r.route, prompt: r.prompt, parts: r.parts, sentAt: w.now, relay: relay}
+		arrival := &worldRequest{
+			route: r.route, path: r.path, key: r.key, prompt: r.prompt, parts: r.parts, sentAt: w.now, relay: relay, origin: r,
+		}
+		peer.requests[peer.lastID] = arrival
+		config, route, caller, denial := peer.admit(arrival)
+		if route == nil {
+			relay.finish(Finish{Code: denial})
+			return
+		}
 		peer.step(RequestArrived{
-			Request: peer.lastID, Route: &w.config.Routes[r.route], Config: w.config, Deadline: s.Deadline, PromptTokens: r.prompt,
+			Request: peer.lastID, Route: route, Config: config, Caller: caller, Deadline: s.Deadline, PromptTokens: r.prompt,
 			MaxAnswerTokens: 400, SharedParts: r.parts, Relayed: true, AttemptsLeft: s.Relay.AttemptsLeft, ResumeAfter: s.ResumeAfter,
 		})
 	})
 }
 
+// admit returns the route and the caller of a request, or a nil route and the code of its
+// denial.
+func (in *worldInstance) admit(r *worldRequest) (*Config, *Route, *Workspace, result.Code) {
+	if r.path == "" {
+		return in.world.config, in.world.config.Routes[r.route], nil, 0
+	}
+	config := in.core.Config()
+	route := config.Match("", r.path)
+	if route == nil {
+		return config, nil, nil, result.UnknownRoute
+	}
+	caller := config.Authenticate(r.key)
+	if caller == nil && config.RequiresKeys() && !route.Anonymous {
+		return config, nil, nil, result.Unauthenticated
+	}
+	r.config = config
+	return config, route, caller, 0
+}
+
 // leave tells the peer that the request was cancelled.
 func (relay *worldRelay) leave() {
 	relay.ended = true
@@ -210,7 +237,7 @@
 	submit := func(attemptsLeft int) RequestID {
 		h.lastRequestID++
 		h.step(RequestArrived{
-			Request: h.lastRequestID, Route: &h.config.Routes[routeIdempotent], Config: h.config,
+			Request: h.lastRequestID, Route: h.config.Routes[routeIdempotent], Config: h.config,
 			Deadline: h.now + 2*time.Second, Relayed: true, AttemptsLeft: attemptsLeft,
 		})
 		return h.lastRequestID
--- a/internal/fleet/request_test.go
+++ b/internal/fleet/request_test.go
@@ -131,7 +131,7 @@
 	h.step(TargetChecked{first.Target, CheckRefused})
 	must.Eq(t, 1, h.sendCount(id))
 	must.Eq(t, result.TargetDied, h.finishes[id].Code)
-	h.step(RequestArrived{Request: 99, Route: &h.config.Routes[routeShort], Config: h.config, Deadline: h.now + time.Second, PromptTokens: 1, Fingerprint: 1})
+	h.step(RequestArrived{Request: 99, Route: h.config.Routes[routeShort], Config: h.config, Deadline: h.now + time.Second, PromptTokens: 1, Fingerprint: 1})
 	must.Eq(t, result.FamilyRefused, h.finishes[99].Code.Family())
 	must.Eq(t, 0, h.sendCount(99))
 }
--- a/internal/fleet/split_test.go
+++ b/internal/fleet/split_test.go
@@ -81,7 +81,7 @@
 	h := newHarness(t, 1)
 	e := h.config.Services["pool"].Engine
 	a := &activeRequest{
-		arrival: RequestArrived{Route: &h.config.Routes[routeShort], Config: h.config, PromptTokens: 4000},
+		arrival: RequestArrived{Route: h.config.Routes[routeShort], Config: h.config, PromptTokens: 4000},
 		service: "pool", value: 1, deadline: time.Minute,
 	}
 	must.Less(t, e.prefillMS(4000, 1)+2*e.StepMS, h.core.choosePlacement(a).firstEventMS)
--- a/internal/fleet/stop_length_test.go
+++ b/internal/fleet/stop_length_test.go
@@ -14,7 +14,7 @@
 func TestStopRefusesLateStreamsOfUnknownLength(t *testing.T) {
 	h := newHarness(t, 1)
 	routeEvents := len(h.config.Routes)
-	h.config.Routes = append(h.config.Routes, Route{
+	h.config.Routes = append(h.config.Routes, &Route{
 		Name: "events", Kind: KindStream, Resumable: true, Timeout: 15 * time.Second, TargetLatency: 300 * time.Millisecond,
 		MaxEventGap: 250 * time.Millisecond, CallerTimeout: 2 * time.Second, MaxAttempts: 2, Backends: []Backend{{"app", 1}},
 	})
--- a/internal/fleet/target_leaving_test.go
+++ b/internal/fleet/target_leaving_test.go
@@ -44,7 +44,7 @@
 		h.submit(routeNonIdempotent, 0)
 		h.lastRequestID++
 		h.step(RequestArrived{
-			Request: h.lastRequestID, Route: &h.config.Routes[routeShort], Config: h.config, Deadline: h.now + 2*time.Second,
+			Request: h.lastRequestID, Route: h.config.Routes[routeShort], Config: h.config, Deadline: h.now + 2*time.Second,
 			PromptTokens: 3000, MaxAnswerTokens: 100, Relayed: true, AttemptsLeft: 1,
 		})
 		h.advance(100 * time.Millisecond)
@@ -417,7 +417,7 @@
 	for range 70 {
 		h.lastRequestID++
 		h.step(RequestArrived{
-			Request: h.lastRequestID, Route: &h.config.Routes[routeShort], Config: h.config, Deadline: h.now + 2*time.Second,
+			Request: h.lastRequestID, Route: h.config.Routes[routeShort], Config: h.config, Deadline: h.now + 2*time.Second,
 			PromptTokens: 1000, MaxAnswerTokens: 10, Fingerprint: 77,
 		})
 		h.advance(10 * time.Second)
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/shoenig/test/must"
+
 	"github.com/medlardeck/medlardeck/internal/timers"
 )
 
@@ -41,10 +43,13 @@
 	cut      string // failure domain that is separated from the others
 	crashes  map[uint64][]time.Duration
 	// reached are the times at which requests with a part reached targets.
-	reached  map[uint64][]time.Duration
-	requests []*worldRequest
-	rejects  float64 // share of the requests that targets reject
-	refusals int     // of requests without a crashing part, by quarantine
+	reached   map[uint64][]time.Duration
+	requests  []*worldRequest
+	rejects   float64        // share of the requests that targets reject
+	logCounts map[string]int // lines in the logs of all instances, by their event
+	// onRun is called for each request that reaches its target, unless it is nil.
+	onRun    func(*worldRun)
+	refusals int // of requests without a crashing part, by quarantine
 }
 
 type worldInstance struct {
@@ -82,6 +87,7 @@
 
 type worldRequest struct {
 	route, prompt int
+	path, key     string // select the route and the caller instead of route, if set
 	parts         []uint64
 	sentAt        time.Duration
 	sends         int
@@ -90,6 +96,9 @@
 	endedAt       time.Duration
 	relayed       int         // times that it was sent to a peer
 	relay         *worldRelay // of an arrival from a peer
+	origin        *worldRequest
+	config        *Config // in force at the arrival, of requests with a path
+	runs          int     // that reached targets, here or by way of peers
 }
 
 type worldRun struct {
@@ -107,7 +116,7 @@
 	t.Helper()
 	w := &fleetWorld{
 		t: t, rng: rand.New(rand.NewPCG(seed, 9)), config: newHarness(t, 0).config, crashing: make(map[uint64]bool),
-		crashes: make(map[uint64][]time.Duration), reached: make(map[uint64][]time.Duration),
+		logCounts: make(map[string]int), crashes: make(map[uint64][]time.Duration), reached: make(map[uint64][]time.Duration),
 	}
 	for i := range targets {
 		w.targets = append(w.targets, &worldTarget{slot: i})
@@ -218,6 +227,7 @@
 		}
 	case Finish:
 		r := in.requests[eff.Request]
+		must.Nil(w.t, r.finish, must.Sprint("a request ended twice"))
 		r.finish, r.endedAt = &eff, w.now
 		if r.relay != nil {
 			r.relay.finish(eff)
@@ -225,6 +235,8 @@
 		if eff.Code.String() == "quarantined" && !w.carriesCrashingPart(r) {
 			w.refusals++
 		}
+	case Log:
+		w.logCounts[eff.Event]++
 	case Reserve:
 		w.after(worldHop, func() { in.step(Reserved{Request: eff.Request, Target: eff.Target.ID, Granted: true}) })
 	case CheckTarget:
@@ -277,7 +289,7 @@
 	in.lastID++
 	in.requests[in.lastID] = r
 	in.step(RequestArrived{
-		Request: in.lastID, Route: &in.world.config.Routes[route], Config: in.world.config,
+		Request: in.lastID, Route: in.world.config.Routes[route], Config: in.world.config,
 		Deadline: in.world.now + in.world.config.Routes[route].Timeout, PromptTokens: prompt, MaxAnswerTokens: 400,
 		Fingerprint: in.world.rng.Uint64(), SharedParts: parts,
 	})
@@ -308,6 +320,14 @@
 	return 2 * worldHop
 }
 
+// root returns the request of a caller that a peer may serve.
+func (r *worldRequest) root() *worldRequest {
+	if r.origin != nil {
+		return r.origin
+	}
+	return r
+}
+
 func (run *worldRun) end() {
 	run.ended = true
 	if run.target != nil {
@@ -341,6 +361,10 @@
 		return
 	}
 	run.arrived = true
+	run.request.root().runs++
+	if w.onRun != nil {
+		w.onRun(run)
+	}
 	run.instance.step(Connected{run.target.ID})
 	for _, part := range run.request.parts {
 		w.reached[part] = append(w.reached[part], w.now)
--- a/internal/simulate/day.go
+++ b/internal/simulate/day.go
@@ -150,7 +150,7 @@
 		Name: serviceName, Engine: engineParams(slotsPerEngine),
 	}}}
 	for _, k := range kinds {
-		config.Routes = append(config.Routes, fleet.Route{
+		config.Routes = append(config.Routes, &fleet.Route{
 			Name: k.Name, Host: "host", Prefix: "/" + k.Name + "/", Kind: fleet.KindStream, Resumable: true, Timeout: k.Deadline,
 			TargetLatency: k.FirstEventTarget, MaxEventGap: k.MaxEventGap, CallerTimeout: callerTimeout(k), MaxAttempts: 2, Priority: 1,
 			Backends: []fleet.Backend{{Service: serviceName, Weight: 1}},
