fleetnode: a configuration is decoded once, and after the targets beside it

Each list of the store and each peer's copy of the version in force was decoded whole, to be dropped.

Cause: items were handled in the order of their keys, and versions compared after decoding.

Fix: targets are applied first, and only the last configuration among the items is decoded, unless its text is that of the one in force. Decoding no longer holds the lock under which targets are applied.

Evidence: TestConfigurationIsDecodedOnceAndAfterTheTargets failed before: expected []string{"t/1", "version 4"}, got []string{"version 4", "t/1"}

--- a/internal/fleetnode/mirror.go
+++ b/internal/fleetnode/mirror.go
@@ -1,6 +1,7 @@
 package fleetnode
 
 import (
+	"bytes"
 	"slices"
 	"strings"
 	"sync"
@@ -38,6 +39,8 @@
 
 	// applyMu is held while a list or changes are applied.
 	applyMu sync.Mutex
+	// configMu is held while a configuration is decoded and adopted.
+	configMu sync.Mutex
 
 	mu               sync.Mutex
 	storeReachable   bool
@@ -95,8 +98,11 @@
 // HandleList implements follow.Handler. Peers are told of the new versions.
 func (m *mirror) HandleList(items []follow.Item, position follow.Position) {
 	m.applyMu.Lock()
-	m.applyList(items, position)
+	applied := m.applyList(items, position)
 	m.applyMu.Unlock()
+	if applied {
+		m.adoptListedConfig(items)
+	}
 	m.onList()
 }
 
@@ -118,10 +124,11 @@
 }
 
 // applyList replaces the targets by those of a list of the store, which this instance
-// or a peer has read. A list of an era before the known one is ignored.
-func (m *mirror) applyList(items []follow.Item, position follow.Position) {
+// or a peer has read. It returns false for a list of an era before the known one, which is
+// ignored.
+func (m *mirror) applyList(items []follow.Item, position follow.Position) (applied bool) {
 	if !m.advanceEra(position.Era, position.Revision) {
-		return
+		return false
 	}
 	var targets []fleet.Target
 	listed := make(map[string]follow.Item)
@@ -141,14 +148,25 @@
 	m.mu.Unlock()
 	slices.SortFunc(targets, func(a, b fleet.Target) int { return strings.Compare(a.ID, b.ID) })
 	m.node.Step(fleet.TargetList{Targets: targets})
+	return true
 }
 
 // HandleChanges implements follow.Handler.
 func (m *mirror) HandleChanges(items []follow.Item, position follow.Position) {
+	if !m.applyChanges(items, position) {
+		return
+	}
+	m.adoptListedConfig(items)
+	m.onChange()
+}
+
+// applyChanges applies changes of targets and instances. It returns false for changes of an
+// era before the known one, which are ignored.
+func (m *mirror) applyChanges(items []follow.Item, position follow.Position) (applied bool) {
 	m.applyMu.Lock()
 	defer m.applyMu.Unlock()
 	if !m.advanceEra(position.Era, position.Revision) {
-		return
+		return false
 	}
 	for _, item := range items {
 		if !strings.HasPrefix(item.Key, m.decoder.TargetsPrefix) {
@@ -171,7 +189,7 @@
 	m.mu.Lock()
 	m.advancePositionLocked(position)
 	m.mu.Unlock()
-	m.onChange()
+	return true
 }
 
 // advanceEra notes the era of what this instance or a peer has read from the store. A
@@ -251,21 +269,33 @@
 	return t, true
 }
 
-// handleOtherItem handles an item that is not a target: the configuration or
-// the address of an instance.
+// handleOtherItem handles an item that is neither a target nor the configuration: the
+// address of an instance.
 func (m *mirror) handleOtherItem(item follow.Item) {
-	switch {
-	case item.Removed:
-	case item.Key == m.decoder.ConfigKey:
-		m.adoptConfig(item.Value)
-	case strings.HasPrefix(item.Key, instanceKeyPrefix):
+	if !item.Removed && strings.HasPrefix(item.Key, instanceKeyPrefix) {
 		m.onPeerAddress(string(item.Value))
 	}
 }
 
+// adoptListedConfig adopts the last configuration among items of the store. It is called
+// after the targets have been applied, since a long configuration takes a while to decode.
+func (m *mirror) adoptListedConfig(items []follow.Item) {
+	for _, item := range slices.Backward(items) {
+		if item.Key == m.decoder.ConfigKey && !item.Removed {
+			m.adoptConfig(item.Value)
+			return
+		}
+	}
+}
+
 // adoptConfig passes a configuration from the store or a peer to the decision
 // core if it is newer than the last.
 func (m *mirror) adoptConfig(raw []byte) {
+	m.configMu.Lock()
+	defer m.configMu.Unlock()
+	if bytes.Equal(raw, m.latestRawConfig()) { // listed again, or heard of twice
+		return
+	}
 	config, err := m.decoder.Config(raw)
 	if err != nil {
 		m.log.Info("configuration-rejected", "cause", err.Error())
@@ -282,6 +312,12 @@
 	}
 }
 
+func (m *mirror) latestRawConfig() []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.rawConfig
+}
+
 // versions returns the newest configuration version and position of the store.
 func (m *mirror) versions() (configVersion uint64, position follow.Position) {
 	m.mu.Lock()
