fleet: a peer of another version is asked for other requests all the same

What callers saw: beside a change of the configuration, an instance without a path to its targets refused its requests with no-target (503) for a second, although its peers served everything that they knew.

Cause: a peer that does not know a new key or route yet, or no longer an old one, answers 401 or 404. This was taken for a failure of the peer: it was avoided for the whole service for a second, and asked last for five. One request with a new key, sent to four peers, closed all of them. A 413 by a smaller limit of the peer ended the request at once.

Fix: refusals by the version (404, 401, 413, no configuration) hold for that request and that peer only; the next peer is asked. The caller gets no-target if none of four knows the request, since a peer's version may be older than the own one.

Ruled out: passing the 401 or 404 on (final for callers, and the peer may be behind).

Evidence: TestPeerOfAnotherVersionServesOtherRequests failed before: config_change_test.go:47: request 2 was not sent

--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -41,7 +41,7 @@
 	for name, p := range c.peers {
 		failedAt, failed := p.relayFailures[a.service]
 		switch {
-		case p.relayAddress == "" || c.now-p.lastMessageAt > relayPeerTimeout:
+		case p.relayAddress == "" || c.now-p.lastMessageAt > relayPeerTimeout, slices.Contains(a.otherVersionPeers, name):
 		case failed && c.now-failedAt < relayRetryDelay:
 		case failed && c.now-failedAt < relayDoubtTime, p.relayUnproven:
 			doubted = append(doubted, name)
@@ -103,7 +103,12 @@
 		c.avoidRelay(name, a.service)
 		c.dispatch(a)
 	case OutcomeNotRun, OutcomeMisdirected:
-		if isRefusalOfPeer(ev.Refusal) {
+		switch {
+		case isRefusalByVersion(ev.Refusal):
+			a.otherVersionPeers = append(a.otherVersionPeers, name)
+			c.dispatch(a)
+			return
+		case isRefusalOfPeer(ev.Refusal):
 			c.avoidRelay(name, a.service)
 			c.dispatch(a)
 			return
@@ -122,12 +127,22 @@
 // one may serve the request.
 func isRefusalOfPeer(code result.Code) bool {
 	switch code {
-	case result.NoTarget, result.TargetsRefused, result.QueueFull, result.Stopping, result.NoConfiguration, result.UnknownRoute, result.Unauthenticated:
+	case result.NoTarget, result.TargetsRefused, result.QueueFull, result.Stopping:
 		return true
 	}
 	return code.Family() != result.FamilyRefused
 }
 
+// isRefusalByVersion reports whether the peer's version of the configuration does not allow
+// the request. This says nothing of the peer's other requests.
+func isRefusalByVersion(code result.Code) bool {
+	switch code {
+	case result.NoConfiguration, result.UnknownRoute, result.Unauthenticated, result.BodyTooLarge:
+		return true
+	}
+	return false
+}
+
 // avoidRelay records that a peer could not serve a request to a service.
 func (c *Core) avoidRelay(name, service string) {
 	if p := c.peers[name]; p != nil {
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -87,6 +87,8 @@
 
 	relayedBy string // name of the peer that serves the current attempt, empty for none
 	relays    int    // peers to which the request was sent
+	// otherVersionPeers are the names of peers whose configuration does not allow the request.
+	otherVersionPeers []string
 
 	reservation *reservation
 
