fleet: a relayed request keeps the time limit of its arrival

What callers saw: an instance without a path to its targets had its streams cut (resume-failed) where its peer had a version of the configuration with a shorter time limit, long before their own limit.

Cause: the peer applied the limit of its own version once more to the time that was left.

Fix: the limit is applied by the instance that admits the request; the time left that it passes on holds everything.

TestRelayedRequestKeepsItsTimeLimit failed before: the deadline of the send was 0.3 s after the arrival in place of 5 s.

--- a/internal/fleet/config_change_test.go
+++ b/internal/fleet/config_change_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -47,3 +48,20 @@
 		must.SliceContains(t, []string{"front-2", "front-3"}, h.lastSend(other).Relay.Peer, must.Sprint(refusal))
 	}
 }
+// The time limit of a relayed request is that of the instance that admitted it: a peer of a
+// version with a shorter one would cut its stream.
+func TestRelayedRequestKeepsItsTimeLimit(t *testing.T) {
+	t.Parallel()
+	h := newChangeHarness(t, 3)
+	h.config.Routes[routeShort].Timeout = 300 * time.Millisecond
+	h.lastRequestID++
+	h.step(RequestArrived{
+		Request: h.lastRequestID, Route: h.config.Routes[routeShort], Config: h.config, Deadline: h.now + 5*time.Second,
+		PromptTokens: 1000, Fingerprint: 1, Relayed: true, AttemptsLeft: 2,
+	})
+	send := h.lastSend(h.lastRequestID)
+	must.Eq(t, h.now+5*time.Second, send.Deadline)
+	h.step(Progress{Attempt: send.Attempt, EventID: "1"})
+	h.advance(800 * time.Millisecond)
+	must.Eq(t, Finish{}, h.finishes[h.lastRequestID])
+}
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -117,7 +117,7 @@
 		arrival: ev, arrivedAt: c.now, deadline: ev.Deadline,
 		value: requestValue(ev.PromptTokens), lastEventID: ev.ResumeAfter, fingerprints: fingerprintsOf(&ev),
 	}
-	if timeout := ev.Route.Timeout; timeout > 0 {
+	if timeout := ev.Route.Timeout; timeout > 0 && !ev.Relayed { // else the peer has applied its own
 		a.deadline = min(a.deadline, c.now+timeout)
 	}
 	c.requests[ev.Request] = a
