fleet: a request that no target has seen follows its route

What callers saw: a request that waited for room was refused (no-target, Retry-After 1 s) when operators moved its route to another service and took the former targets away, although the new ones had room. The same held for one that had been chosen for a target and was not written.

Cause: a request kept route and service of its arrival while it waited, which may be for most of its caller's patience.

Fix: at each placement a request that no target has seen takes over the present version of its route: services, objectives, priority. If its service is not among them any more, one is drawn by weight. Deadline, caller and whether it may be repeated stay. A route that has gone, or is of another kind now, changes nothing: what was admitted is served.

Ruled out: moving requests that a target has seen (repeats draw on the budget of the service that saw the first arrival, and a stream would be joined from two services); refusing what waits when its key goes (it was allowed when it came).

Evidence: failed before: TestWaitingRequestFollowsItsRoute: expected no end, got no-target TestWithheldRequestFollowsItsRoute: expected "spare", got "app" TestWaitingRequestOutlivesItsRoute, TestRetryStaysAtItsService, TestRequestKeepsItsKind and TestTimeLimitIsThatOfTheArrival hold what stays; they passed before, too.

--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -162,6 +162,7 @@
 // dispatch chooses targets for the next attempt and sends it, reserves memory first,
 // lets the request wait, or ends the request.
 func (c *Core) dispatch(a *activeRequest) {
+	c.followConfig(a)
 	if c.isBlocked(a) {
 		c.refuseOrFail(a, result.Quarantined, quarantineRetryAfter)
 		return
