fleet: a request is placed by the engine figures in force

What callers saw: after a version with other figures of a service's engines, a stream that went on at another target, or a repeat, was placed by the former ones: at a target that had no memory for it, and turned it away.

Cause: the figures were those of the version of the arrival.

Fix: a placement uses the figures in force for the request's service, as long as the service still has some.

Evidence: TestResumedStreamIsPlacedByTheFiguresInForce failed before: config_change_test.go:175: expected positive value, value: 0 (no part of the prompt was placed elsewhere).

--- a/internal/fleet/config_change.go
+++ b/internal/fleet/config_change.go
@@ -6,8 +6,13 @@
 	if c.config == nil || c.config == a.arrival.Config {
 		return
 	}
-	if !a.mayHaveRun() && !a.arrivedAtTarget {
-		c.followRoute(a)
+	if !a.mayHaveRun() && !a.arrivedAtTarget && c.followRoute(a) {
+		return
+	}
+	// The figures describe the engines as they are now.
+	service := c.config.Services[a.service]
+	if service != nil && (service.Engine != nil) == (c.engineOf(a) != nil) {
+		a.arrival.Config = c.config
 	}
 }
 
--- a/internal/fleet/config_change_test.go
+++ b/internal/fleet/config_change_test.go
@@ -159,6 +159,22 @@
 	must.Eq(t, 2, h.sendCount(id))
 }
 
+// A stream under way that goes on at another target is placed by the figures of the engines
+// as they are now: by former ones it would not fit there.
+func TestResumedStreamIsPlacedByTheFiguresInForce(t *testing.T) {
+	t.Parallel()
+	h := newChangeHarness(t, 4)
+	id := h.submit(routeShort, 6000)
+	first := h.lastSend(id)
+	h.step(Progress{Attempt: first.Attempt, EventID: "1"})
+	h.configure(func(c *Config) {
+		c.Services["pool"].Engine.MemoryTokens = 4000
+		c.Services["pool"].Engine.PrefillPerMS = 2
+	})
+	h.step(AttemptEnd{Attempt: first.Attempt, Outcome: OutcomeBroken})
+	must.Positive(t, len(h.lastSend(id).Helpers)+len(h.reserves))
+}
+
 // Shorter and longer time limits hold for requests that come later. A stream under way
 // is neither cut by the one nor kept by the other.
 func TestTimeLimitIsThatOfTheArrival(t *testing.T) {
