forward: a request is decided by the version in force when it has been read

What callers saw: a request whose body took longer than a change takes to be in force was handled as the former version allowed: run with a key that had been withdrawn, or by the service from which its route had moved, and refused for want of a configuration by an instance that had got its first one meanwhile.

Fix: it is taken again once the body is there. The limit of the body stays that of the version under which the request began.

--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -32,12 +32,13 @@
 	defer n.unanswered.Add(-1)
 	metadata := n.opts.HeaderCodec.ReadRequest(r.Header)
 	n.awaitConfig(r.Context())
-	config, stale := n.Config()
-	body, err := n.readBody(w, r, config)
+	limits, _ := n.Config()
+	body, err := n.readBody(w, r, limits)
 	if err != nil {
 		n.rejectUnreadableBody(w, r, metadata, err)
 		return
 	}
+	config, stale := n.Config() // a body may take long to arrive
 	if config == nil {
 		n.refuseRequest(w, r, metadata, result.NoConfiguration)
 		return
