--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -156,7 +156,7 @@
 // first one counts.
 func (c *Config) indexRoutes(base *Config, pause func()) {
 	b := newIndexBuilder(base.routes)
-	same, sameEnd := commonEnds(base.Routes, c.Routes)
+	same, sameEnd := commonEnds(base.Routes, c.Routes, pause)
 	for _, r := range base.Routes[same : len(base.Routes)-sameEnd] {
 		pause()
 		delete(b.shard(r.key()), r.key())
@@ -178,7 +178,7 @@
 // the last one counts.
 func (c *Config) indexWorkspaces(base *Config, pause func()) {
 	b := newIndexBuilder(base.workspaces)
-	same, sameEnd := commonEnds(base.Workspaces, c.Workspaces)
+	same, sameEnd := commonEnds(base.Workspaces, c.Workspaces, pause)
 	for _, w := range base.Workspaces[same : len(base.Workspaces)-sameEnd] {
 		for _, key := range w.Keys {
 			pause()
--- a/internal/fleet/config_index.go
+++ b/internal/fleet/config_index.go
@@ -55,12 +55,14 @@
 
 // commonEnds returns the numbers of equal items at the beginnings and at the ends of two
 // lists. No item counts twice.
-func commonEnds[T comparable](a, b []T) (prefix, suffix int) {
+func commonEnds[T comparable](a, b []T, pause func()) (prefix, suffix int) {
 	shorter := min(len(a), len(b))
 	for prefix < shorter && a[prefix] == b[prefix] {
+		pause()
 		prefix++
 	}
 	for suffix < shorter-prefix && a[len(a)-1-suffix] == b[len(b)-1-suffix] {
+		pause()
 		suffix++
 	}
 	return prefix, suffix
