fleet: an attempt is given up only for one that starts at once

What callers saw: the stream of a target that said nothing for 0.9 s was cut with resume-failed, a plain request got target-died, although the target would have gone on.

Cause: abandonSilentAttempt cancelled first. Whether anything else may be done (retry budget, quarantine, a placement, memory, a limit, quiet targets, the path, a planned stop) was asked afterwards. callerPatienceShare ended attempts before the time predicted for them.

Now an attempt is overdue after its predicted time, or the longest pause of its route, with a margin. It is given up when nobody has heard of its target for 2.2 s (sound targets are silent for up to two), or shortly before its caller would leave, and only if another one is sure to start and its first event is predicted to find the caller; otherwise it goes on, and is looked at again. The replacement is placed before the cancel, as if the attempt had ended. While the path is in doubt nothing is given up. The silence counts as one failure of the target, ends when anybody hears of it, and keeps new requests away meanwhile. Loads that peers end are no sign of life: they end them when they give up or their callers leave, too.

Failed before, in the core: TestSilentAttemptGoesOnUnlessAnotherOneStarts in all nine cases ("expected slice to not contain item but it does", the cancelled attempt), TestSilentAttemptIsNotGivenUpForAReservation, TestAttemptIsNotSilentBeforeItsPredictedTime, TestSilentAttemptGoesOnIfAnotherWouldBeTooLate, TestSoundSecondOfSilenceChangesNothing (16 of 40 moved), TestTargetThatGoesOnIsUsedAgain.

TestRequestAtHangingTargetMovesOnBeforeItsCallerLeaves wanted twelve attempts cancelled with no other target than the two that hang: four of them for a placement that was predicted to come after the caller has left, which this rule forbids. It has four targets more now, and wants in addition that each request is sent to another one in that time.

--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -1,10 +1,6 @@
 package fleet
 
-import (
-	"time"
-
-	"github.com/medlardeck/medlardeck/internal/result"
-)
+import "github.com/medlardeck/medlardeck/internal/result"
 
 // handleProgress records that an event of the answer reached the caller. The first
 // event of an attempt shows that the prompt has been prefilled.
@@ -26,8 +22,7 @@
 	if a.relayedBy != "" {
 		return
 	}
-	a.target.lastHeardAt = c.now
-	a.stallDeadline = c.now + c.pauseTimeout(a)
+	c.recordHeard(a.target)
 	if a.attemptDeliveredEvent {
 		c.recordLongRun(a)
 		return
@@ -38,7 +33,7 @@
 	c.recordSuccess(a.target)
 	c.log("first-event", "request", a.arrival.ID, "attempt", ev.Attempt, "after_ms", int(toMS(c.now-a.sentAt)))
 	for _, placed := range a.loads {
-		placed.target.lastHeardAt = c.now
+		c.recordHeard(placed.target)
 		placed.target.markFirstEvent(c.now, placed.load)
 		c.outbox.pending.FirstEvents = append(c.outbox.pending.FirstEvents, placed.load.Key)
 		c.outbox.recordChange(placed.load.Key, placed.target)
@@ -46,107 +41,23 @@
 	c.scheduleGossip()
 }
 
-// pauseTimeout is the time after an event at which the target counts as silent for
-// this request.
-func (c *Core) pauseTimeout(a *activeRequest) time.Duration {
-	return max(minStallTimeout, time.Duration(stallFactor*float64(a.arrival.Route.MaxEventGap)))
-}
-
-// scheduleStallCheck abandons the attempt if the target is still silent when its
-// next event is overdue, and otherwise checks again later. Requests that must not
-// run twice are never abandoned.
-func (c *Core) scheduleStallCheck(a *activeRequest, id AttemptID, delay time.Duration) {
-	if !a.arrival.Route.Retryable() {
-		return
-	}
-	c.afterFunc(delay, func() {
-		if a.attempt != id {
-			return
-		}
-		silentAt := a.stallDeadline
-		if c.engineOf(a) != nil {
-			// A target that still serves other requests is late, not silent: another
-			// target would have to repeat the prefill done so far.
-			silentAt = max(silentAt, a.target.lastHeardAt+c.expectedSilence(a))
-			silentAt = min(silentAt, a.patienceLimit())
-		}
-		if c.now < silentAt {
-			c.scheduleStallCheck(a, id, silentAt-c.now)
-			return
-		}
-		c.abandonSilentAttempt(a)
-	})
-}
-
-// callerLeavesAt is the time at which the caller disconnects unless the next event
-// comes before. After the first event the deadline does not count: another target would
-// not end the answer sooner.
-func (a *activeRequest) callerLeavesAt() time.Duration {
-	patience := a.arrival.Route.CallerTimeout
-	switch {
-	case patience <= 0:
-		return a.deadline
-	case a.anyEventDelivered:
-		return a.lastEventAt + patience
-	default:
-		return min(a.deadline, a.arrivedAt+patience)
-	}
-}
-
-// patienceLimit is the time at which the current attempt, if it stays silent, has used
-// up callerPatienceShare of the patience that the caller had left for it. A caller that
-// is more patient than its route says sets no limit.
-func (a *activeRequest) patienceLimit() time.Duration {
-	begin, leavesAt := max(a.sentAt, a.lastEventAt), a.callerLeavesAt()
-	if leavesAt <= begin {
-		return a.deadline
-	}
-	return begin + time.Duration(callerPatienceShare*float64(leavesAt-begin))
-}
-
-// expectedSilence is how long a healthy target may send nothing to any caller: the
-// prefill of all prompts pending there, or one pass if it already decodes this
-// request.
-func (c *Core) expectedSilence(a *activeRequest) time.Duration {
-	if a.attemptDeliveredEvent {
-		a.target.advancePrefills(c.now)
-		return minStallTimeout + fromMS(a.target.predictState(c.engineOf(a)).longestPassMS)
-	}
-	pendingMS := float64(0)
-	for _, tracked := range a.target.loads {
-		if !tracked.firstEventSeen {
-			pendingMS += tracked.PrefillMS
-		}
-	}
-	return minStallTimeout + fromMS(pendingMS)
-}
-
-// abandonSilentAttempt cancels an attempt at a silent target and retries it
-// elsewhere, unless the route allows no more attempts or no targets are available.
-func (c *Core) abandonSilentAttempt(a *activeRequest) {
-	if a.attemptsRun+1 >= a.maxAttempts() || len(c.candidateTargets(a)) == 0 && c.relayPeer(a) == "" {
-		return
-	}
-	c.log("target-silent", "request", a.arrival.ID, "attempt", a.attempt, "target", a.target.ID,
-		"silent_ms", int(toMS(c.now-a.lastEventAt)), "alive_ms_ago", int(toMS(c.now-a.target.lastHeardAt)))
-	c.emit(Cancel{Attempt: a.attempt})
-	c.recordTargetFailure(a, true)
-	c.removeAttemptLoads(a)
-	a.attemptsRun++
-	c.retryOrFail(a, "silent")
+// recordTargetFailure counts a failure against the target of the current attempt, which the
+// request does not try again.
+func (c *Core) recordTargetFailure(a *activeRequest, severe bool) {
+	a.triedTargets = append(a.triedTargets, a.target.ID)
+	c.recordFailureOf(a.target, severe)
 }
 
-// recordTargetFailure counts a failure against the target of the current attempt.
-// Severe failures, without any answer, are reported to the peers; others count half.
-func (c *Core) recordTargetFailure(a *activeRequest, severe bool) {
+// recordFailureOf counts a failure against a target. Severe failures, without any answer,
+// are reported to the peers; others count half.
+func (c *Core) recordFailureOf(target *targetState, severe bool) {
 	weight := 1.0
 	if !severe {
 		weight = 0.5
 	}
-	a.triedTargets = append(a.triedTargets, a.target.ID)
-	a.target.health.recordFailure(c.now, weight, severe)
-	if severe && c.pathTo(a.target.Service).state == pathSound { // otherwise the failure says nothing of the target
-		c.outbox.pending.FailedTargets = append(c.outbox.pending.FailedTargets, a.target.ID)
+	target.health.recordFailure(c.now, weight, severe)
+	if severe && c.pathTo(target.Service).state == pathSound { // otherwise the failure says nothing of the target
+		c.outbox.pending.FailedTargets = append(c.outbox.pending.FailedTargets, target.ID)
 		c.scheduleGossip()
 	}
 }
@@ -168,11 +79,9 @@
 	if !a.attemptDeliveredEvent {
 		c.recordLimit(a, ev.Limit)
 	}
-	if ev.Outcome != OutcomeComplete {
-		c.log("attempt-ended", "request", a.arrival.ID, "attempt", ev.Attempt, "target", target.ID,
-			"end", ev.Outcome.String(), "status", ev.Status, "cause", ev.Cause, "culprit", ev.FailedAddress,
-			"after_ms", int(toMS(c.now-a.sentAt)))
-		c.incrementCounter("attempts_ended", ev.Outcome.String())
+	c.logAttemptEnd(a)
+	if ev.Outcome.isAnswer() {
+		c.recordHeard(target)
 	}
 	switch ev.Outcome {
 	case OutcomeComplete:
@@ -209,6 +118,18 @@
 	}
 }
 
+// logAttemptEnd logs and counts how an attempt ended without a complete answer.
+func (c *Core) logAttemptEnd(a *activeRequest) {
+	ev := a.lastEnd
+	if ev.Outcome == OutcomeComplete {
+		return
+	}
+	c.log("attempt-ended", "request", a.arrival.ID, "attempt", ev.Attempt, "target", a.target.ID,
+		"end", ev.Outcome.String(), "status", ev.Status, "cause", ev.Cause, "culprit", ev.FailedAddress,
+		"after_ms", int(toMS(c.now-a.sentAt)))
+	c.incrementCounter("attempts_ended", ev.Outcome.String())
+}
+
 // handleNotConnected retries the request after no connection to its target was made.
 func (c *Core) handleNotConnected(a *activeRequest) {
 	target := a.target
--- a/internal/fleet/domain_health.go
+++ b/internal/fleet/domain_health.go
@@ -1,10 +1,6 @@
 package fleet
 
-import (
-	"cmp"
-	"slices"
-	"time"
-)
+import "time"
 
 // Detection of failure domains that cannot be reached.
 const (
@@ -15,9 +11,6 @@
 	// domainRetryDelay is how long the domain is avoided before a request tries it
 	// again.
 	domainRetryDelay = time.Second
-	// domainSilenceTimeout is how long a target of such a domain may have been
-	// silent before its requests are retried elsewhere: a few passes of an engine.
-	domainSilenceTimeout = 400 * time.Millisecond
 )
 
 // domainHealth tracks the failed connections to another failure domain.
@@ -57,22 +50,7 @@
 	if len(d.failedTargets) >= domainFailureThreshold && c.now >= d.avoidUntil {
 		d.avoidUntil = c.now + domainRetryDelay
 		c.log("domain-avoided", "domain", target.FailureDomain, "failed_targets", len(d.failedTargets))
-		c.abandonSilentAttempts(func(other *targetState) bool { return other.FailureDomain == target.FailureDomain })
-	}
-}
-
-// abandonSilentAttempts retries, at other targets or by way of a peer, the repeatable
-// requests at those silent targets that cannot be reached.
-func (c *Core) abandonSilentAttempts(unreachable func(*targetState) bool) {
-	var silent []*activeRequest
-	for _, a := range c.attempts {
-		if a.relayedBy == "" && unreachable(a.target) && c.now-max(a.lastEventAt, a.target.lastHeardAt) >= domainSilenceTimeout && a.arrival.Route.Retryable() {
-			silent = append(silent, a)
-		}
-	}
-	slices.SortFunc(silent, func(a, b *activeRequest) int { return cmp.Compare(a.attempt, b.attempt) })
-	for _, a := range silent {
-		c.abandonSilentAttempt(a)
+		c.replaceSilentAttempts(func(other *targetState) bool { return other.FailureDomain == target.FailureDomain })
 	}
 }
 
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -150,6 +150,11 @@
 
 func (o AttemptOutcome) String() string { return outcomeNames[o] }
 
+// isAnswer reports whether the target itself has answered.
+func (o AttemptOutcome) isAnswer() bool {
+	return o == OutcomeComplete || o == OutcomeFailed || o == OutcomeNotRun
+}
+
 // AttemptEnd reports how an attempt ended.
 type AttemptEnd struct {
 	Attempt AttemptID
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -247,13 +247,12 @@
 	for _, key := range g.FirstEvents {
 		if placed, ok := p.loads[key]; ok && !placed.load.firstEventSeen {
 			placed.target.markFirstEvent(c.now, placed.load)
-			placed.target.lastHeardAt = c.now
+			c.recordHeard(placed.target)
 			placed.target.health.recordSuccess()
 		}
 	}
 	for _, key := range g.EndedLoads {
 		if placed, ok := p.loads[key]; ok {
-			placed.target.lastHeardAt = c.now
 			placed.target.removeLoad(c.now, placed.load)
 			delete(p.loads, key)
 		}
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -43,7 +43,7 @@
 		switch {
 		case p.relayAddress == "" || c.now-p.lastMessageAt > relayPeerTimeout:
 		case failed && c.now-failedAt < relayRetryDelay:
-		case failed && c.now-failedAt < relayDoubtTime, p.relayUnproven:
+		case c.isRelayDoubted(name, a.service):
 			doubted = append(doubted, name)
 		case p.domain == c.opts.FailureDomain:
 			own = append(own, name)
@@ -60,6 +60,14 @@
 	return ""
 }
 
+// isRelayDoubted reports whether a peer may not serve a request to a service: it failed to
+// lately, or its build is not known to do so.
+func (c *Core) isRelayDoubted(name, service string) bool {
+	p := c.peers[name]
+	failedAt, failed := p.relayFailures[service]
+	return p.relayUnproven || failed && c.now-failedAt < relayDoubtTime
+}
+
 // sendToPeer sends the request to a peer, which places it like one of its own callers'.
 func (c *Core) sendToPeer(a *activeRequest, name string) {
 	c.lastAttemptID++
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -10,17 +10,6 @@
 
 // Times and limits of attempts.
 const (
-	// minStallTimeout is the least time without an event after which a target counts
-	// as silent; a healthy target sends something with each pass.
-	minStallTimeout = 900 * time.Millisecond
-	// stallFactor is the multiple of the predicted time to the first event, or of
-	// the route's MaxEventGap, after which a target counts as silent.
-	stallFactor = 2.5
-	// callerPatienceShare is the share of the caller's patience with a silent stream
-	// after which another target is tried; the rest is left for that target's first
-	// event. It applies to services with an engine model, and also caps the longer
-	// wait for a target that still serves other requests.
-	callerPatienceShare = 0.6
 	// placementRetryDelay is the time between two placements of a waiting request:
 	// about one pass of an engine.
 	placementRetryDelay = 40 * time.Millisecond
@@ -75,8 +64,8 @@
 	attemptDeliveredEvent bool         // the current attempt has sent an event
 	sentAt                time.Duration
 	lastEventAt           time.Duration // of the last event; of the send before the first event
-	predictedFirstEventMS float64       // from sentAt to the first event, by the engine model alone
-	stallDeadline         time.Duration // when the target counts as silent
+	predictedFirstEvent   time.Duration // from sentAt
+	predictedFirstEventMS float64       // the same by the engine model alone
 	timeToFirstEvent      time.Duration // from arrival to the first event
 	longestPause          time.Duration
 	lastEventID           string
@@ -267,7 +256,7 @@
 	c.lastAttemptID++
 	a.attempt, a.target, a.attemptDeliveredEvent, a.hasFailureAnswer = c.lastAttemptID, p.primary, false, false
 	a.survivalRecorded = false
-	a.sentAt, a.predictedFirstEventMS = c.now, p.uncorrectedFirstEventMS
+	a.sentAt, a.predictedFirstEvent, a.predictedFirstEventMS = c.now, fromMS(p.firstEventMS), p.uncorrectedFirstEventMS
 	if !a.anyEventDelivered {
 		a.lastEventAt = c.now
 	}
@@ -294,9 +283,7 @@
 		ResumeAfter: a.lastEventID, Urgency: c.urgency(a, p), Helpers: helpers, Workspace: workspace,
 		FreshConnection: !a.arrival.Route.Retryable(),
 	})
-	stallTimeout := max(minStallTimeout, fromMS(stallFactor*p.firstEventMS))
-	a.stallDeadline = c.now + stallTimeout
-	c.scheduleStallCheck(a, a.attempt, min(stallTimeout, a.patienceLimit()-c.now))
+	c.scheduleSilenceCheck(a, c.overdueAt(a)-c.now)
 }
 
 // urgency is the order of admission at the targets: by the configured priority, and
--- a/internal/fleet/request_test.go
+++ b/internal/fleet/request_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -202,18 +203,22 @@
 	must.Eq(t, result.Stopping, h.finishes[late].Code)
 }
 
-// A target hangs: it accepts requests and sends nothing. Requests that arrived before
-// the first one is found silent have to move on before their callers leave.
+// Targets hang: they accept requests and send nothing. Requests that arrived before the
+// first one is found silent have to move on before their callers leave.
 func TestRequestAtHangingTargetMovesOnBeforeItsCallerLeaves(t *testing.T) {
 	h := newHarness(t, 2)
 	for range 12 { // each adds to the silence that a healthy target may need
 		h.submit(routeShort, 16_000)
 	}
-	sentAtOnce := len(h.sends)
-	must.Greater(t, 4, sentAtOnce)
+	sentAtOnce := slices.Clone(h.sends)
+	must.Greater(t, 4, len(sentAtOnce))
+	for i := range 4 {
+		h.listTarget("pool", 2+i, "a")
+	}
 	h.advance(h.config.Routes[routeShort].CallerTimeout - 100*time.Millisecond)
-	for _, send := range h.sends[:sentAtOnce] {
+	for _, send := range sentAtOnce {
 		must.SliceContains(t, h.cancels, send.Attempt)
+		must.NotEq(t, send.Target.ID, h.lastSend(send.Request).Target.ID)
 	}
 }
 
--- a/internal/fleet/retry_budget.go
+++ b/internal/fleet/retry_budget.go
@@ -53,16 +53,21 @@
 	b.requests[b.slot%retryWindowSlots]++
 }
 
+// hasRetry reports whether the budget of the service has a retry left. The slack is divided
+// evenly among the known instances, while the ratio applies to the requests of each.
+func (c *Core) hasRetry(service string) bool {
+	requests, retries := c.currentRetryBudget(service).totals()
+	slackShare := c.opts.RetrySlack / float64(1+c.peerCount())
+	return float64(retries+1) <= c.opts.RetryRatio*float64(requests)+slackShare
+}
+
 // takeRetry takes one retry from the budget of the service; it returns false if the
-// budget is used up. The slack is divided evenly among the known instances, while
-// the ratio applies to the requests of each.
+// budget is used up.
 func (c *Core) takeRetry(service string) bool {
-	b := c.currentRetryBudget(service)
-	requests, retries := b.totals()
-	slackShare := c.opts.RetrySlack / float64(1+c.peerCount())
-	if float64(retries+1) > c.opts.RetryRatio*float64(requests)+slackShare {
+	if !c.hasRetry(service) {
 		return false
 	}
+	b := c.currentRetryBudget(service)
 	b.retries[b.slot%retryWindowSlots]++
 	return true
 }
--- a/internal/fleet/stop.go
+++ b/internal/fleet/stop.go
@@ -90,7 +90,13 @@
 // expected to end before the process does. One that may have run goes on in any case: it
 // can't be refused any more.
 func (c *Core) canSendBeforeStopEnds(a *activeRequest, p placement) bool {
-	if !c.stop.begun || a.mayHaveRun() {
+	return a.mayHaveRun() || c.endsBeforeStop(a, p)
+}
+
+// endsBeforeStop reports whether an answer by the placement p, if it is sent now, is expected
+// to end before the process does.
+func (c *Core) endsBeforeStop(a *activeRequest, p placement) bool {
+	if !c.stop.begun {
 		return true
 	}
 	neededTime := stopLatencyFactor * a.arrival.Route.TargetLatency
--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -63,6 +63,8 @@
 	advancedAt  time.Duration // time up to which prefill progress is predicted
 	lastHeardAt time.Duration // when it last sent anything, here or to a peer
 	health      health
+	// silenceCountedAt is when its silence was counted as a failure, zero since it was heard.
+	silenceCountedAt time.Duration
 	// nextUnreadableQuietLog is when an unreadable QuietRequest is logged again.
 	nextUnreadableQuietLog time.Duration
 	// guest is the result of guestDomain as of guestEpoch.
--- a/internal/fleet/target_path.go
+++ b/internal/fleet/target_path.go
@@ -89,6 +89,7 @@
 	for _, crash := range path.heldCrashes {
 		c.reportCrash(crash.target, crash.suspects)
 	}
+	c.replaceSilentAttempts(c.cannotConnect) // others than this path were in doubt
 }
 
 // regainPath forgets the failures behind the lost path, and checks again whether targets
@@ -201,7 +202,7 @@
 	path.state = pathLost
 	c.log("target-path-lost", "service", path.service, "failed_targets", len(path.failed), "held_crashes", len(path.heldCrashes))
 	c.incrementCounter("target_path", "lost")
-	c.abandonSilentAttempts(func(target *targetState) bool { return target.Service == path.service })
+	c.replaceSilentAttempts(func(target *targetState) bool { return target.Service == path.service })
 }
 
 // confirmCrash reports a crash. While the own path to the targets is in doubt or lost, the
