--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -190,8 +190,8 @@
 
 // Reserved delivers a target's reply to Reserve.
 type Reserved struct {
-	Request RequestID
-	Target  string
+	Request        RequestID
+	Target, Ticket string
 	// Granted says that the target has reserved the memory.
 	Granted bool
 	Cause   string
--- a/internal/fleet/placement_test.go
+++ b/internal/fleet/placement_test.go
@@ -50,7 +50,7 @@
 	tokens := 0
 	for _, r := range h.reserves {
 		tokens += r.Tokens
-		h.step(Reserved{Request: id, Target: r.Target.ID, Granted: true})
+		h.step(Reserved{Request: id, Target: r.Target.ID, Ticket: r.Ticket, Granted: true})
 	}
 	s := h.lastSend(id)
 	must.Eq(t, len(h.reserves), len(s.Helpers))
@@ -67,7 +67,7 @@
 	id := h.submit(routeLong, 400_000)
 	asked := len(h.reserves)
 	for i, r := range h.reserves {
-		h.step(Reserved{Request: id, Target: r.Target.ID, Granted: i > 0})
+		h.step(Reserved{Request: id, Target: r.Target.ID, Ticket: r.Ticket, Granted: i > 0})
 	}
 	must.Eq(t, 0, h.sendCount(id))
 	must.Eq(t, asked, len(h.releases))
@@ -82,7 +82,7 @@
 	id := h.submit(routeLong, 400_000)
 	asked := len(h.reserves)
 	for _, r := range h.reserves[:asked] {
-		h.step(Reserved{Request: id, Target: r.Target.ID, Granted: true})
+		h.step(Reserved{Request: id, Target: r.Target.ID, Ticket: r.Ticket, Granted: true})
 	}
 	h.advance(2500 * time.Millisecond)
 	must.GreaterEq(t, 2*asked, len(h.reserves))
--- a/internal/fleet/quiet_test.go
+++ b/internal/fleet/quiet_test.go
@@ -199,7 +199,7 @@
 		}
 		h.askQuiet(quiet, 0, time.Minute)
 		for _, reserve := range h.reserves {
-			h.step(Reserved{Request: id, Target: reserve.Target.ID, Granted: true})
+			h.step(Reserved{Request: id, Target: reserve.Target.ID, Ticket: reserve.Ticket, Granted: true})
 		}
 		must.Eq(t, 0, h.sendCount(id), must.Sprint(whose))
 		must.Eq(t, len(res.tickets), len(h.releases), must.Sprint(whose))
--- a/internal/fleet/reserve.go
+++ b/internal/fleet/reserve.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -21,17 +22,17 @@
 // does not fit into the memory of one engine.
 type reservation struct {
 	placement placement
-	tickets   []string // by index of the helper
-	replies   int      // received so far
-	denied    bool     // by at least one helper
-	granted   bool     // by all helpers
+	tickets   []string        // by index of the helper
+	replied   map[string]bool // tickets of which a reply has come
+	denied    bool            // by at least one helper
+	granted   bool            // by all helpers
 	released  bool
 }
 
 // reserveMemory reserves memory at each helper. The request is sent once all of them
 // have granted it.
 func (c *Core) reserveMemory(a *activeRequest, p placement) {
-	res := &reservation{placement: p}
+	res := &reservation{placement: p, replied: make(map[string]bool, len(p.helpers))}
 	a.reservation = res
 	for range p.helpers {
 		c.lastKey++
@@ -60,21 +61,21 @@
 	c.afterFunc(time.Duration(ticketRenewalShare*float64(c.opts.ReservationTTL)), func() { c.sendReservations(a, res) })
 }
 
-// handleReserved records a helper's reply. After the last reply it sends the
+// handleReserved records a helper's reply, which may be one to a renewal. After the last reply it sends the
 // request, or, if any helper denied the memory or a target leaves, releases the others'
 // reservations and places the request again.
 func (c *Core) handleReserved(ev Reserved) {
 	a := c.requests[ev.Request]
-	if a == nil || a.reservation == nil || a.reservation.granted {
+	if a == nil || a.reservation == nil || a.reservation.granted || !slices.Contains(a.reservation.tickets, ev.Ticket) {
 		return
 	}
 	res := a.reservation
-	res.replies++
+	res.replied[ev.Ticket] = true
 	if !ev.Granted {
 		res.denied = true
 		c.log("reserve-denied", "request", a.arrival.ID, "target", ev.Target, "cause", ev.Cause)
 	}
-	if res.replies < len(res.tickets) {
+	if len(res.replied) < len(res.tickets) {
 		return
 	}
 	if c.isBlocked(a) {
--- a/internal/fleet/silence_test.go
+++ b/internal/fleet/silence_test.go
@@ -109,7 +109,7 @@
 	h := newHarness(t, 8)
 	id := h.submit(routeLong, 400_000)
 	for _, r := range h.reserves {
-		h.step(Reserved{Request: id, Target: r.Target.ID, Granted: true})
+		h.step(Reserved{Request: id, Target: r.Target.ID, Ticket: r.Ticket, Granted: true})
 	}
 	must.Eq(t, 1, h.sendCount(id))
 	h.step(Progress{Attempt: h.lastSend(id).Attempt, EventID: "1"})
--- a/internal/fleet/stop_test.go
+++ b/internal/fleet/stop_test.go
@@ -95,7 +95,7 @@
 	h.endStop()
 	must.Eq(t, result.Stopping, h.finishes[id].Code)
 	must.Len(t, len(h.reserves), h.releases)
-	h.step(Reserved{Request: id, Target: h.reserves[0].Target.ID, Granted: true})
+	h.step(Reserved{Request: id, Target: h.reserves[0].Target.ID, Ticket: h.reserves[0].Ticket, Granted: true})
 	must.Eq(t, 0, h.sendCount(id))
 }
 
@@ -149,7 +149,7 @@
 	h.step(Stop{BalancerDelay: 100 * time.Millisecond, GracePeriod: 2 * time.Second})
 	h.advance(1900 * time.Millisecond)
 	for _, r := range slices.Clone(h.reserves) {
-		h.step(Reserved{Request: reserved, Target: r.Target.ID, Granted: true})
+		h.step(Reserved{Request: reserved, Target: r.Target.ID, Ticket: r.Ticket, Granted: true})
 	}
 	must.Eq(t, 0, h.sendCount(reserved))
 	must.Eq(t, result.Stopping, h.finishes[reserved].Code)
--- a/internal/fleet/target_leaving_test.go
+++ b/internal/fleet/target_leaving_test.go
@@ -85,7 +85,7 @@
 	h := newHarness(t, 8)
 	large := h.submit(routeLong, 400_000)
 	for _, r := range h.reserves {
-		h.step(Reserved{Request: large, Target: r.Target.ID, Granted: true})
+		h.step(Reserved{Request: large, Target: r.Target.ID, Ticket: r.Ticket, Granted: true})
 	}
 	stream := h.submit(routeShort, 3000)
 	helper := h.lastSend(large).Helpers[0]
@@ -122,7 +122,7 @@
 		}
 		h.sayLeaving(left)
 		for _, r := range asked {
-			h.step(Reserved{Request: id, Target: r.Target.ID, Granted: true})
+			h.step(Reserved{Request: id, Target: r.Target.ID, Ticket: r.Ticket, Granted: true})
 		}
 		must.Eq(t, 0, h.sendCount(id), must.Sprint(leaver))
 		must.Len(t, len(asked), h.releases)
@@ -130,7 +130,7 @@
 		must.SliceNotEmpty(t, again)
 		for _, r := range slices.Clone(again) {
 			must.NotEq(t, left, r.Target.ID)
-			h.step(Reserved{Request: id, Target: r.Target.ID, Granted: true})
+			h.step(Reserved{Request: id, Target: r.Target.ID, Ticket: r.Ticket, Granted: true})
 		}
 		must.SliceNotContains(t, reached([]Send{h.lastSend(id)}), left)
 	}
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -238,7 +238,9 @@
 	case Log:
 		w.logCounts[eff.Event]++
 	case Reserve:
-		w.after(worldHop, func() { in.step(Reserved{Request: eff.Request, Target: eff.Target.ID, Granted: true}) })
+		w.after(worldHop, func() {
+			in.step(Reserved{Request: eff.Request, Target: eff.Target.ID, Ticket: eff.Ticket, Granted: true})
+		})
 	case CheckTarget:
 		target := w.target(eff.Target)
 		w.after(w.connectTime(in), func() { in.step(TargetChecked{eff.Target, w.checkResult(in, target)}) })
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -273,7 +273,7 @@
 func (n *Node) reserveMemory(r fleet.Reserve) {
 	answer, err := n.opts.MemoryReserver.Reserve(n.ctx, r)
 	n.reportOrderAnswer(r.Target, answer)
-	reply := fleet.Reserved{Request: r.Request, Target: r.Target.ID, Granted: err == nil}
+	reply := fleet.Reserved{Request: r.Request, Target: r.Target.ID, Ticket: r.Ticket, Granted: err == nil}
 	if err != nil {
 		reply.Cause = err.Error()
 	}
--- a/internal/simulate/simulate.go
+++ b/internal/simulate/simulate.go
@@ -202,7 +202,7 @@
 		s.schedule(hop, func() {
 			ok := g.reserveMemory(eff.Ticket, eff.Tokens)
 			s.schedule(hop, func() {
-				in.handleEvent(fleet.Reserved{Request: eff.Request, Target: eff.Target.ID, Granted: ok})
+				in.handleEvent(fleet.Reserved{Request: eff.Request, Target: eff.Target.ID, Ticket: eff.Ticket, Granted: ok})
 			})
 		})
 	case fleet.Release:
