forward: a resumed stream that is answered by no stream is not complete

What callers saw: a stream that broke after its second event, and whose next target answered the rest with 200 and another type, or with 400, 404 or 409, ended like a complete one.

Cause: any answer that was read to its end counted as the end of the stream. Its head had been written, so the answer was not.

Now such an answer is a failed attempt: the stream goes on elsewhere, or is cut. A stream counts as whole only if it was passed on to its end.

Evidence: TestStreamThatIsNotResumedIsNotComplete failed before in all four cases ("expected non-nil error; got nil").

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -45,6 +45,7 @@
 	errEncodedResponse  = errors.New("response has a content encoding")
 	errResponseTooLarge = errors.New("response is too large")
 	errCancelled        = errors.New("cancelled")
+	errNoStream         = errors.New("response to a resumed stream is no stream")
 )
 
 // brokenAttempt returns the end of an attempt that failed without a complete
@@ -192,6 +193,10 @@
 		return brokenAttempt(errUnsigned), resp
 	case resp.StatusCode == http.StatusOK && x.route.Kind == fleet.KindStream && isEventStream(resp.Header):
 		return x.relayStream(send, resp), resp
+	case x.headWritten:
+		// The caller has the head of a stream, which no other answer can go on with.
+		resp.Close = resp.Close || discardBody(c, resp) != nil
+		return fleet.AttemptEnd{Outcome: fleet.OutcomeFailed, Status: resp.StatusCode, Cause: errNoStream.Error(), FailedAddress: metadata.FailedAddress}, resp
 	}
 	return x.bufferResponse(resp, metadata), resp
 }
@@ -304,6 +309,7 @@
 		return brokenAttempt(io.ErrUnexpectedEOF)
 	}
 	x.writeStreamHead(resp)
+	x.streamEnded = true
 	return fleet.AttemptEnd{Outcome: fleet.OutcomeComplete, Status: resp.StatusCode, EndedByClose: endsByClose(resp)}
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -37,7 +37,8 @@
 	lastCancelled  fleet.AttemptID // attempts up to this ID are cancelled
 
 	limit       fleet.Limit       // as the answer to the current attempt names it
-	headWritten bool              // status and headers were written to the caller
+	headWritten bool              // status and headers of a stream were written to the caller
+	streamEnded bool              // the stream was passed on to its end
 	lastEventID string            // ID of the last event that the caller received
 	buffered    *bufferedResponse // response of the last attempt, not yet written to the caller
 }
@@ -133,7 +134,7 @@
 // writes the buffered response or an error.
 func (x *exchange) finishResponse(f fleet.Finish) {
 	if x.headWritten {
-		if !f.ForwardAnswer {
+		if !f.ForwardAnswer || !x.streamEnded {
 			panic(http.ErrAbortHandler) // the caller must see that the stream is incomplete
 		}
 		return
