forward, fleet: a caller that does not read is no silence of its target

What callers saw: a caller that read nothing for 0.9 s had its stream moved to another target, whose first event then waited behind the same caller. Both targets counted as silent, here and at all peers, and the attempts that a real failure would have needed were used up.

Cause: the core hears of an event when it has been written to the caller.

Now an event that waits for the caller for 0.2 s is reported; until it has been written the attempt is not judged.

--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -41,6 +41,18 @@
 	c.scheduleGossip()
 }
 
+// handleCallerBlocked records that an attempt has sent more than its caller reads.
+func (c *Core) handleCallerBlocked(ev CallerBlocked) {
+	a := c.attempts[ev.Attempt]
+	if a == nil {
+		return
+	}
+	a.callerBlocked = ev.Blocked
+	if a.relayedBy == "" {
+		c.recordHeard(a.target)
+	}
+}
+
 // recordTargetFailure counts a failure against the target of the current attempt, which the
 // request does not try again.
 func (c *Core) recordTargetFailure(a *activeRequest, severe bool) {
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -120,6 +120,8 @@
 		c.handleLeavingStated(ev)
 	case Progress:
 		c.handleProgress(ev)
+	case CallerBlocked:
+		c.handleCallerBlocked(ev)
 	case AttemptEnd:
 		c.handleAttemptEnd(ev)
 	case CallerLeft:
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -123,6 +123,13 @@
 	Limit   Limit
 }
 
+// CallerBlocked reports that an event of the answer waits for a caller that does not read,
+// or no longer does.
+type CallerBlocked struct {
+	Attempt AttemptID
+	Blocked bool
+}
+
 // AttemptOutcome is the way in which an attempt ended, as far as it is known.
 type AttemptOutcome uint8
 
@@ -332,6 +339,7 @@
 func (Connected) fleetEvent()         {}
 func (RequestArrived) fleetEvent()    {}
 func (Progress) fleetEvent()          {}
+func (CallerBlocked) fleetEvent()     {}
 func (AttemptEnd) fleetEvent()        {}
 func (CallerLeft) fleetEvent()        {}
 func (PeerGossip) fleetEvent()        {}
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -72,7 +72,7 @@
 func (c *Core) sendToPeer(a *activeRequest, name string) {
 	c.lastAttemptID++
 	a.attempt, a.target, a.relayedBy = c.lastAttemptID, nil, name
-	a.attemptDeliveredEvent, a.hasFailureAnswer = false, false
+	a.attemptDeliveredEvent, a.hasFailureAnswer, a.callerBlocked = false, false, false
 	a.relays++
 	a.sentAt = c.now
 	if !a.anyEventDelivered {
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -62,6 +62,7 @@
 	arrivedAtTarget       bool         // a target rejected the request; see also attemptsRun
 	anyEventDelivered     bool         // an event or more went to the caller
 	attemptDeliveredEvent bool         // the current attempt has sent an event
+	callerBlocked         bool         // an event of the current attempt waits for the caller
 	sentAt                time.Duration
 	lastEventAt           time.Duration // of the last event; of the send before the first event
 	predictedFirstEvent   time.Duration // from sentAt
@@ -258,7 +259,7 @@
 func (c *Core) sendAttempt(a *activeRequest, p placement, tickets []string) {
 	c.lastAttemptID++
 	a.attempt, a.target, a.attemptDeliveredEvent, a.hasFailureAnswer = c.lastAttemptID, p.primary, false, false
-	a.survivalRecorded = false
+	a.survivalRecorded, a.callerBlocked = false, false
 	a.sentAt, a.predictedFirstEvent, a.predictedFirstEventMS = c.now, fromMS(p.firstEventMS), p.uncorrectedFirstEventMS
 	if !a.anyEventDelivered {
 		a.lastEventAt = c.now
--- a/internal/fleet/silence.go
+++ b/internal/fleet/silence.go
@@ -120,6 +120,9 @@
 // dead, or if its caller would otherwise leave. An attempt that nothing is sure to replace
 // goes on: its target may still answer. It returns the time after which to look again.
 func (c *Core) replaceIfSilent(a *activeRequest) time.Duration {
+	if a.callerBlocked {
+		return silenceCheckInterval
+	}
 	if overdueAt := c.overdueAt(a); c.now < overdueAt {
 		return overdueAt - c.now
 	}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -287,7 +287,7 @@
 			continue
 		}
 		x.writeStreamHead(resp)
-		if err := x.writeEvent(event); err != nil {
+		if err := x.writeEvent(send.Attempt, event); err != nil {
 			return fleet.AttemptEnd{Outcome: fleet.OutcomeCallerGone, Cause: err.Error()}
 		}
 		if id != "" {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/medlardeck/medlardeck/internal/fleet"
@@ -16,6 +17,10 @@
 // response before its connection counts as broken.
 const callerWriteTimeout = 10 * time.Second
 
+// callerBlockedDelay is how long an event may wait for the caller to read before the
+// decision core learns of it.
+const callerBlockedDelay = 200 * time.Millisecond
+
 // exchange handles one caller's request and its attempts at targets. The
 // attempts run one after the other in the goroutine of the caller's HTTP
 // handler.
@@ -36,6 +41,8 @@
 	conn           *conn           // connection of the current attempt, nil between attempts
 	lastCancelled  fleet.AttemptID // attempts up to this ID are cancelled
 
+	writing atomic.Bool // an event is being written to the caller
+
 	limit       fleet.Limit       // as the answer to the current attempt names it
 	headWritten bool              // status and headers of a stream were written to the caller
 	streamEnded bool              // the stream was passed on to its end
@@ -222,8 +229,17 @@
 	x.w.WriteHeader(resp.StatusCode)
 }
 
-// writeEvent writes one whole event to the caller and flushes it.
-func (x *exchange) writeEvent(event []byte) error {
+// writeEvent writes one whole event of an attempt to the caller and flushes it. The decision
+// core learns of a caller that does not read meanwhile.
+func (x *exchange) writeEvent(attempt fleet.AttemptID, event []byte) error {
+	x.writing.Store(true)
+	blocked := time.AfterFunc(callerBlockedDelay, func() { x.reportBlocked(attempt) })
+	defer func() {
+		x.writing.Store(false)
+		if !blocked.Stop() {
+			x.node.Step(fleet.CallerBlocked{Attempt: attempt})
+		}
+	}()
 	_ = x.rc.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
 	if _, err := x.w.Write(event); err != nil {
 		return err
@@ -231,6 +247,16 @@
 	return x.rc.Flush()
 }
 
+// reportBlocked tells the decision core that the caller does not read, unless the event has
+// been written by now.
+func (x *exchange) reportBlocked(attempt fleet.AttemptID) {
+	x.node.mu.Lock()
+	defer x.node.mu.Unlock()
+	if x.writing.Load() {
+		x.node.stepLocked(fleet.CallerBlocked{Attempt: attempt, Blocked: true})
+	}
+}
+
 // hopByHopHeaders apply to a single connection and are not forwarded.
 var hopByHopHeaders = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
