fleet: an instance's own pause is no silence of its targets

What callers saw: after a pause of the instance itself (processor time, garbage, a freeze) sound attempts were given up: timers that had become due ran before the events that had arrived meanwhile were read.

The answer that a Step hands over counts before the timers that are due with it.

--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -15,14 +15,14 @@
 		a.timeToFirstEvent = c.now - a.arrivedAt
 		c.emit(Observe{"first_event_seconds", a.arrival.Route.Name, a.timeToFirstEvent})
 	}
-	a.anyEventDelivered, a.lastEventAt = true, c.now
+	a.anyEventDelivered, a.lastEventAt, a.judgedAt = true, c.now, 0
 	if ev.EventID != "" {
 		a.lastEventID = ev.EventID
 	}
 	if a.relayedBy != "" {
 		return
 	}
-	c.recordHeard(a.target)
+	c.recordHeardHere(a.target)
 	if a.attemptDeliveredEvent {
 		c.recordLongRun(a)
 		return
@@ -81,7 +81,7 @@
 	}
 	c.logAttemptEnd(a)
 	if ev.Outcome.isAnswer() {
-		c.recordHeard(target)
+		c.recordHeardHere(target)
 	}
 	switch ev.Outcome {
 	case OutcomeComplete:
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -66,6 +66,8 @@
 	relayedCount      int                             // requests of peers in flight
 	stop              stopState
 	lastArrivalAt     time.Duration
+	hasPulse          bool          // a timer of startPulse is set
+	settledAt         time.Duration // what arrived while this instance was held up is read until then
 }
 
 // New returns a Core without configuration and targets.
@@ -86,17 +88,32 @@
 }
 
 // Step advances the time to now, runs the timers that are due, handles one event
-// and returns the effects that the caller has to carry out, in order. The returned
-// slice is valid until the next Step.
+// and returns the effects that the caller has to carry out, in order. A target's answer is
+// handled before the timers. The returned slice is valid until the next Step.
 func (c *Core) Step(now time.Duration, ev Event) []Effect {
 	c.now = max(c.now, now)
 	c.effects = c.effects[:0]
-	c.timers.Run(c.now)
-	c.handleEvent(ev)
+	c.recordHoldUp()
+	if isFromTarget(ev) { // it has arrived before the timers that are due now
+		c.handleEvent(ev)
+		c.timers.Run(c.now)
+	} else {
+		c.timers.Run(c.now)
+		c.handleEvent(ev)
+	}
 	c.emitGossip()
 	return c.effects
 }
 
+// isFromTarget reports whether an event is a part of a target's answer.
+func isFromTarget(ev Event) bool {
+	switch ev.(type) {
+	case Progress, AttemptEnd:
+		return true
+	}
+	return false
+}
+
 func (c *Core) handleEvent(ev Event) {
 	switch ev := ev.(type) {
 	case Configure:
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -65,6 +65,7 @@
 	sentAt                time.Duration
 	lastEventAt           time.Duration // of the last event; of the send before the first event
 	predictedFirstEvent   time.Duration // from sentAt
+	judgedAt              time.Duration // see settleWait; zero while the attempt is not silent
 	predictedFirstEventMS float64       // the same by the engine model alone
 	timeToFirstEvent      time.Duration // from arrival to the first event
 	longestPause          time.Duration
@@ -255,12 +256,13 @@
 func (c *Core) sendAttempt(a *activeRequest, p placement, tickets []string) {
 	c.lastAttemptID++
 	a.attempt, a.target, a.attemptDeliveredEvent, a.hasFailureAnswer = c.lastAttemptID, p.primary, false, false
-	a.survivalRecorded = false
+	a.survivalRecorded, a.judgedAt = false, 0
 	a.sentAt, a.predictedFirstEvent, a.predictedFirstEventMS = c.now, fromMS(p.firstEventMS), p.uncorrectedFirstEventMS
 	if !a.anyEventDelivered {
 		a.lastEventAt = c.now
 	}
 	c.attempts[a.attempt] = a
+	c.startPulse()
 	helpers := make([]Helper, len(p.helpers))
 	for i, h := range p.helpers {
 		helpers[i] = Helper{Target: h.ID, Address: h.Address}
--- a/internal/fleet/silence.go
+++ b/internal/fleet/silence.go
@@ -13,8 +13,9 @@
 	// minStallTimeout is the least pause between events after which an attempt counts as
 	// overdue; a healthy target sends something with each pass.
 	minStallTimeout = 900 * time.Millisecond
-	// minFirstEventTimeout is the same for the first event, which has a time predicted for it.
-	minFirstEventTimeout = 400 * time.Millisecond
+	// minResumeTimeout is the same for the first event of an attempt that goes on with a stream:
+	// its caller waits already.
+	minResumeTimeout = 400 * time.Millisecond
 	// overdueFactor is the multiple of the predicted time to the first event, or of the
 	// route's MaxEventGap, after which an attempt counts as overdue.
 	overdueFactor = 1.25
@@ -28,6 +29,9 @@
 	// margin for what the prediction leaves out.
 	lastChanceFactor = 1.5
 	lastChanceMargin = 700 * time.Millisecond
+	// minSilentTargets is the number of targets from which the silence of all that owe an
+	// answer is not taken for their death.
+	minSilentTargets = 3
 	// silenceCheckInterval is the time between two looks at an overdue attempt.
 	silenceCheckInterval = 100 * time.Millisecond
 )
@@ -52,13 +56,18 @@
 
 // overdueAt is the time at which the next event of the current attempt is late.
 func (c *Core) overdueAt(a *activeRequest) time.Duration {
-	if !a.attemptDeliveredEvent {
-		return a.sentAt + max(minFirstEventTimeout, time.Duration(overdueFactor*float64(a.predictedFirstEvent)))
+	least := minStallTimeout
+	switch {
+	case c.cannotConnect(a.target):
+		least = unreachableSilence
+	case a.anyEventDelivered && !a.attemptDeliveredEvent:
+		least = minResumeTimeout
 	}
-	if c.cannotConnect(a.target) {
-		return a.lastEventAt + unreachableSilence
+	expected := a.predictedFirstEvent
+	if a.attemptDeliveredEvent {
+		expected = a.arrival.Route.MaxEventGap
 	}
-	return a.lastEventAt + max(minStallTimeout, time.Duration(overdueFactor*float64(a.arrival.Route.MaxEventGap)))
+	return a.silentSince() + max(least, time.Duration(overdueFactor*float64(expected)))
 }
 
 // presumedDeadAt is the time from which the target of the current attempt is taken for dead
@@ -123,9 +132,12 @@
 	if overdueAt := c.overdueAt(a); c.now < overdueAt {
 		return overdueAt - c.now
 	}
+	if wait := c.settleWait(a); wait > 0 {
+		return wait
+	}
 	c.recordSilence(a)
-	if from := c.earliestReplacement(a); c.now < from {
-		return min(from-c.now, silenceCheckInterval)
+	if c.now < c.earliestReplacement(a) || c.isHeard(a) {
+		return silenceCheckInterval
 	}
 	r, ok := c.findReplacement(a)
 	if !ok {
@@ -144,6 +156,20 @@
 	return min(c.presumedDeadAt(a), a.lastChance(2*a.predictedFirstEvent))
 }
 
+// isHeard reports whether the target of the current attempt answers other requests of this
+// instance: it is late, not silent, and another target would have to repeat the prefill done
+// so far. Of a split prompt, another target may keep it waiting.
+func (c *Core) isHeard(a *activeRequest) bool {
+	if len(a.loads) > 1 && !a.attemptDeliveredEvent {
+		return false
+	}
+	silence := minStallTimeout
+	if c.cannotConnect(a.target) {
+		silence = unreachableSilence
+	}
+	return c.now-a.target.heardHereAt < silence
+}
+
 // lastChance is the time by which another attempt has to begin if its first event, which
 // takes firstEvent, is to find the caller.
 func (a *activeRequest) lastChance(firstEvent time.Duration) time.Duration {
@@ -169,15 +195,24 @@
 		r.relayPeer = c.relayPeer(a)
 		return r, r.relayPeer != "" && !c.isRelayDoubted(r.relayPeer, a.service) && c.canWaitBeforeStopEnds(a)
 	}
+	if c.isServiceSilent(a.service) && !c.cannotConnect(a.target) {
+		return replacement{}, false
+	}
 	r.placement = c.placeElsewhere(a)
 	p := &r.placement
-	if p.primary == nil || p.needsTickets || c.firstEventTooLate(a, *p) || c.shouldWait(a, *p) {
+	if p.primary == nil || p.needsTickets || !c.hasFreeSlot(a, p.primary) || c.firstEventTooLate(a, *p) || c.shouldWait(a, *p) {
 		return replacement{}, false
 	}
 	firstEventAt := c.now + fromMS(p.firstEventMS)
 	return r, firstEventAt < min(a.callerLeavesAt(), a.deadline) && c.endsBeforeStop(a, *p)
 }
 
+// hasFreeSlot reports whether a target begins with the request at once.
+func (c *Core) hasFreeSlot(a *activeRequest, target *targetState) bool {
+	e := c.engineOf(a)
+	return e == nil || target.predictState(e).requests < target.Slots
+}
+
 // isQuarantined reports whether the request could only run again on trial.
 func (c *Core) isQuarantined(a *activeRequest) bool {
 	if a.trial {
@@ -209,6 +244,23 @@
 	return p
 }
 
+// isServiceSilent reports whether all targets of a service that owe this instance an answer
+// are silent, and they are several: another one would hardly be heard either.
+func (c *Core) isServiceSilent(service string) bool {
+	silent := 0
+	for _, target := range c.serviceTargets(service) {
+		if c.now-target.heardHereAt < minStallTimeout {
+			return false
+		}
+		if slices.ContainsFunc(target.loads, func(tracked *trackedLoad) bool {
+			return tracked.owner == "" && !tracked.HelperPart && c.now-tracked.addedAt >= minStallTimeout
+		}) {
+			silent++
+		}
+	}
+	return silent >= minSilentTargets
+}
+
 // replaceAttempt cancels the current attempt and makes another one.
 func (c *Core) replaceAttempt(a *activeRequest, r replacement) {
 	c.log("target-silent", "request", a.arrival.ID, "attempt", a.attempt, "target", a.target.ID,
@@ -242,7 +294,7 @@
 	target.health.avoidUntil = max(target.health.avoidUntil, c.now+minTargetRetryDelay)
 }
 
-// recordHeard records that a target has sent something, which ends its silence.
+// recordHeard records that a target has sent something to anybody, which ends its silence.
 func (c *Core) recordHeard(target *targetState) {
 	target.lastHeardAt = c.now
 	if target.silenceCountedAt > 0 {
@@ -251,6 +303,12 @@
 	}
 }
 
+// recordHeardHere is recordHeard for what was sent to this instance.
+func (c *Core) recordHeardHere(target *targetState) {
+	target.heardHereAt = c.now
+	c.recordHeard(target)
+}
+
 // replaceSilentAttempts replaces the attempts that are silent at those targets that can't
 // be connected to.
 func (c *Core) replaceSilentAttempts(unreachable func(*targetState) bool) {
--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -62,6 +62,7 @@
 	loads       []*trackedLoad
 	advancedAt  time.Duration // time up to which prefill progress is predicted
 	lastHeardAt time.Duration // when it last sent anything, here or to a peer
+	heardHereAt time.Duration // when it last sent anything here
 	health      health
 	// silenceCountedAt is when its silence was counted as a failure, zero since it was heard.
 	silenceCountedAt time.Duration
