fleet: a replacement keeps a second retry, and few are searched in a Step

Cause: "sure to start" was asked of the send only; each look at an overdue attempt computed a placement.

A replacement needs two retries: the second is kept until its first event. Targets without a free slot are left out before the placement is chosen, not refused afterwards. An attempt for which a replacement is found is looked at again when it would begin, and a Step searches four at most, the others 5 ms later. Failed connections count as a sign against a target for as long as its domain is avoided and a second more, not for ever.

Failed before: TestReplacementThatIsRejectedHasAnotherRetry (rejected, 1 retry), TestOldConnectFailuresDoNotShortenTheSilence; TestManySilentAttemptsDoNotHoldTheInstanceUp found that the best placement was a full target and nothing was replaced (0 of 300). A second rejection in a row can still end the request.

--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -28,6 +28,7 @@
 		return
 	}
 	a.attemptDeliveredEvent, a.firstEventAt = true, c.now
+	c.holdRetries(a, 0)
 	c.recordLimit(a, ev.Limit)
 	c.updateFirstEventRatio(a)
 	c.recordSuccess(a.target)
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -54,20 +54,21 @@
 	instanceDomainsEpoch int      // incremented by each change of instanceDomains
 	outbox               outbox
 
-	retryBudgets      map[string]*retryBudget // by service
-	culprits          *quarantine.Culprits
-	announcedVerdicts map[quarantine.Fingerprint]bool // by this instance
-	reportedCrashes   []reportedCrash                 // own ones that the full messages repeat
-	targetChecks      map[incarnation]*targetCheck    // of targets with broken runs
-	demands           map[string]*demand              // by service
-	firstEventRatios  map[string]float64              // see firstEventRatio, by service
-	domains           map[string]*domainHealth        // failure domains that failed since their last success
-	paths             map[string]*targetPath          // by service
-	relayedCount      int                             // requests of peers in flight
-	stop              stopState
-	lastArrivalAt     time.Duration
-	hasPulse          bool          // a timer of startPulse is set
-	settledAt         time.Duration // what arrived while this instance was held up is read until then
+	retryBudgets        map[string]*retryBudget // by service
+	culprits            *quarantine.Culprits
+	announcedVerdicts   map[quarantine.Fingerprint]bool // by this instance
+	reportedCrashes     []reportedCrash                 // own ones that the full messages repeat
+	targetChecks        map[incarnation]*targetCheck    // of targets with broken runs
+	demands             map[string]*demand              // by service
+	firstEventRatios    map[string]float64              // see firstEventRatio, by service
+	domains             map[string]*domainHealth        // failure domains that failed since their last success
+	paths               map[string]*targetPath          // by service
+	relayedCount        int                             // requests of peers in flight
+	stop                stopState
+	lastArrivalAt       time.Duration
+	hasPulse            bool          // a timer of startPulse is set
+	replacementSearches int           // in this Step
+	settledAt           time.Duration // what arrived while this instance was held up is read until then
 }
 
 // New returns a Core without configuration and targets.
@@ -93,6 +94,7 @@
 func (c *Core) Step(now time.Duration, ev Event) []Effect {
 	c.now = max(c.now, now)
 	c.effects = c.effects[:0]
+	c.replacementSearches = 0
 	c.recordHoldUp()
 	if isFromTarget(ev) { // it has arrived before the timers that are due now
 		c.handleEvent(ev)
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -54,6 +54,7 @@
 	loads                 []placedLoad // loads of the current attempt
 	attemptsRun           int          // attempts that ran or may have
 	attemptsNotRun        int          // attempts that did not run
+	heldRetries           int          // of the retry budget, see Core.holdRetries
 	withheld              int          // attempts that were not written, see MayStart
 	triedTargets          []string     // ids of targets that failed or did not run the request
 	waited                bool         // has waited for room at the targets
@@ -362,7 +363,7 @@
 		c.refuseOrFail(a, result.TargetsRefused, c.retryAfterQuiet(a, minRetryAfter))
 	case c.isBlocked(a):
 		c.refuseOrFail(a, result.Quarantined, quarantineRetryAfter)
-	case (a.arrivedAtTarget || a.attemptsRun > 0) && !c.takeRetry(a.service):
+	case (a.arrivedAtTarget || a.attemptsRun > 0) && !c.takeRequestRetry(a):
 		c.refuseOrFail(a, result.RetryBudget, c.retryAfterQuiet(a, minRetryAfter))
 	default:
 		c.incrementCounter("retries", reason)
@@ -397,6 +398,7 @@
 		c.relayedCount--
 	}
 	c.releaseTickets(a)
+	c.holdRetries(a, 0)
 	f.Request = a.arrival.Request
 	c.log("request-ended", "request", a.arrival.ID, "route", a.arrival.Route.Name, "code", int(f.Code),
 		"result", f.Code.String(), "ran", a.attemptsRun, "unsent", a.attemptsNotRun, "after_ms", int(toMS(c.now-a.arrivedAt)),
--- a/internal/fleet/retry_budget.go
+++ b/internal/fleet/retry_budget.go
@@ -12,6 +12,7 @@
 type retryBudget struct {
 	requests, retries [retryWindowSlots]int
 	slot              int64 // number of the current slot since time zero
+	held              int   // retries that are kept for requests, see Core.holdRetries
 }
 
 // advance moves to the slot of the present time and clears the expired ones.
@@ -53,21 +54,45 @@
 	b.requests[b.slot%retryWindowSlots]++
 }
 
-// hasRetry reports whether the budget of the service has a retry left. The slack is divided
-// evenly among the known instances, while the ratio applies to the requests of each.
-func (c *Core) hasRetry(service string) bool {
-	requests, retries := c.currentRetryBudget(service).totals()
+// hasRetries reports whether the budget of the service has that many retries left. The slack
+// is divided evenly among the known instances, while the ratio applies to the requests of
+// each.
+func (c *Core) hasRetries(service string, count int) bool {
+	b := c.currentRetryBudget(service)
+	requests, retries := b.totals()
 	slackShare := c.opts.RetrySlack / float64(1+c.peerCount())
-	return float64(retries+1) <= c.opts.RetryRatio*float64(requests)+slackShare
+	return float64(retries+b.held+count) <= c.opts.RetryRatio*float64(requests)+slackShare
 }
 
 // takeRetry takes one retry from the budget of the service; it returns false if the
 // budget is used up.
 func (c *Core) takeRetry(service string) bool {
-	if !c.hasRetry(service) {
+	if !c.hasRetries(service, 1) {
 		return false
 	}
 	b := c.currentRetryBudget(service)
 	b.retries[b.slot%retryWindowSlots]++
 	return true
 }
+
+// takeRequestRetry is takeRetry for a request, which may hold some.
+func (c *Core) takeRequestRetry(a *activeRequest) bool {
+	if a.heldRetries == 0 {
+		return c.takeRetry(a.service)
+	}
+	b := c.currentRetryBudget(a.service)
+	a.heldRetries--
+	b.held--
+	b.retries[b.slot%retryWindowSlots]++
+	return true
+}
+
+// holdRetries keeps retries of the budget for a request, in case that its next attempt is
+// rejected.
+func (c *Core) holdRetries(a *activeRequest, count int) {
+	if count == a.heldRetries {
+		return
+	}
+	c.currentRetryBudget(a.service).held += count - a.heldRetries
+	a.heldRetries = count
+}
--- a/internal/fleet/silence.go
+++ b/internal/fleet/silence.go
@@ -32,8 +32,16 @@
 	// minSilentTargets is the number of targets from which the silence of all that owe an
 	// answer is not taken for their death.
 	minSilentTargets = 3
+	// spareRetries is the number of retries that are kept in case that the replacement is
+	// rejected.
+	spareRetries = 1
 	// silenceCheckInterval is the time between two looks at an overdue attempt.
 	silenceCheckInterval = 100 * time.Millisecond
+	// maxReplacementSearches bounds the placements that one Step computes for silent
+	// attempts: with many targets, one takes milliseconds. The others follow
+	// silenceSearchDelay later.
+	maxReplacementSearches = 4
+	silenceSearchDelay     = 5 * time.Millisecond
 )
 
 // callerLeavesAt is the time at which the caller disconnects unless the next event
@@ -80,11 +88,11 @@
 	return silentSince + max(maxSoundSilence, c.expectedSilence(a))
 }
 
-// cannotConnect reports whether this instance can't connect to other targets of the
-// target's failure domain, or to any of its service.
+// cannotConnect reports whether this instance could not connect to other targets of the
+// target's failure domain lately, or can't to any of its service.
 func (c *Core) cannotConnect(target *targetState) bool {
 	d := c.domains[target.FailureDomain]
-	return d != nil && len(d.failedTargets) >= domainFailureThreshold || c.pathTo(target.Service).state == pathLost
+	return d != nil && c.now < d.avoidUntil+domainRetryDelay || c.pathTo(target.Service).state == pathLost
 }
 
 // expectedSilence is how long a healthy target may send nothing to any caller: the
@@ -139,12 +147,16 @@
 	if c.now < c.earliestReplacement(a) || c.isHeard(a) {
 		return silenceCheckInterval
 	}
+	if c.replacementSearches >= maxReplacementSearches {
+		return silenceSearchDelay
+	}
+	c.replacementSearches++
 	r, ok := c.findReplacement(a)
 	if !ok {
 		return silenceCheckInterval
 	}
 	if leaveAt := min(c.presumedDeadAt(a), a.lastChance(fromMS(r.placement.firstEventMS))); c.now < leaveAt {
-		return min(leaveAt-c.now, silenceCheckInterval)
+		return leaveAt - c.now
 	}
 	c.replaceAttempt(a, r)
 	return 0
@@ -185,7 +197,7 @@
 // findReplacement returns an attempt that would start at once if the current one were given
 // up, and whose first event is predicted to find the caller.
 func (c *Core) findReplacement(a *activeRequest) (r replacement, ok bool) {
-	if a.attemptsRun+1 >= a.maxAttempts() || !c.hasRetry(a.service) || c.isQuarantined(a) {
+	if a.attemptsRun+1 >= a.maxAttempts() || !c.hasRetries(a.service, 1+spareRetries) || c.isQuarantined(a) {
 		return replacement{}, false
 	}
 	switch c.pathTo(a.service).state {
@@ -200,19 +212,13 @@
 	}
 	r.placement = c.placeElsewhere(a)
 	p := &r.placement
-	if p.primary == nil || p.needsTickets || !c.hasFreeSlot(a, p.primary) || c.firstEventTooLate(a, *p) || c.shouldWait(a, *p) {
+	if p.primary == nil || p.needsTickets || c.firstEventTooLate(a, *p) || c.shouldWait(a, *p) {
 		return replacement{}, false
 	}
 	firstEventAt := c.now + fromMS(p.firstEventMS)
 	return r, firstEventAt < min(a.callerLeavesAt(), a.deadline) && c.endsBeforeStop(a, *p)
 }
 
-// hasFreeSlot reports whether a target begins with the request at once.
-func (c *Core) hasFreeSlot(a *activeRequest, target *targetState) bool {
-	e := c.engineOf(a)
-	return e == nil || target.predictState(e).requests < target.Slots
-}
-
 // isQuarantined reports whether the request could only run again on trial.
 func (c *Core) isQuarantined(a *activeRequest) bool {
 	if a.trial {
@@ -223,7 +229,8 @@
 }
 
 // placeElsewhere returns the placement that the request would get if its current attempt
-// had ended and its target were avoided. There is none if all other targets are avoided.
+// had ended, and its target and those without a free slot were avoided. There is none if all
+// other targets are avoided.
 func (c *Core) placeElsewhere(a *activeRequest) placement {
 	loads := make([][]*trackedLoad, len(a.loads))
 	for i, placed := range a.loads {
@@ -233,6 +240,11 @@
 	}
 	tried := a.triedTargets
 	a.triedTargets = append(slices.Clone(tried), a.target.ID)
+	for _, target := range c.serviceTargets(a.service) {
+		if c.engineOf(a) != nil && target.requestCount() >= target.Slots {
+			a.triedTargets = append(a.triedTargets, target.ID)
+		}
+	}
 	p := c.choosePlacement(a)
 	if p.primary != nil && !c.isUsable(a, p.primary) {
 		p = placement{}
@@ -270,6 +282,7 @@
 	c.removeAttemptLoads(a)
 	a.attemptsRun++
 	c.takeRetry(a.service)
+	c.holdRetries(a, spareRetries)
 	c.incrementCounter("retries", "silent")
 	if r.relayPeer != "" {
 		c.sendToPeer(a, r.relayPeer)
--- a/internal/fleet/silence_test.go
+++ b/internal/fleet/silence_test.go
@@ -297,3 +297,65 @@
 	h.step(Progress{Attempt: h.lastSend(id).Attempt, EventID: "2"})
 	must.True(t, h.core.targets[silent].health.usable(h.now))
 }
+
+// A stream was moved with the last retry of the budget. Its new target rejected it, and it
+// was cut, although the silent one would have gone on.
+func TestReplacementThatIsRejectedHasAnotherRetry(t *testing.T) {
+	for name, end := range map[string]AttemptEnd{
+		"rejected": {Outcome: OutcomeNotRun, Status: 503}, "not connected": {Outcome: OutcomeNotConnected}, "withheld": {Outcome: OutcomeWithheld},
+	} {
+		for retries := range 4 {
+			h := newHarness(t, 4)
+			id := h.submit(routeShort, 4000)
+			h.step(Progress{Attempt: h.lastSend(id).Attempt, EventID: "1"})
+			h.core.opts.RetryRatio, h.core.opts.RetrySlack = 0, float64(retries)
+			h.advance(1500 * time.Millisecond)
+			must.Eq(t, retries > 1, h.sendCount(id) == 2, must.Sprintf("%s, %d retries", name, retries))
+			if retries > 1 {
+				end.Attempt = h.lastSend(id).Attempt
+				h.step(end)
+				must.MapNotContainsKey(t, h.finishes, id, must.Sprintf("%s, %d retries", name, retries))
+				must.Eq(t, 3, h.sendCount(id))
+				h.deliverFirstEvent(id)
+				must.Eq(t, 0, h.core.currentRetryBudget("pool").held)
+			}
+		}
+	}
+}
+
+// Failed connections of long ago say nothing of a target that is silent now.
+func TestOldConnectFailuresDoNotShortenTheSilence(t *testing.T) {
+	h := newHarness(t, 0)
+	for i, domain := range []string{"b", "b", "a"} {
+		h.listTarget("pool", i, domain)
+	}
+	h.listTarget("app", 10, "b")
+	h.listTarget("app", 11, "b")
+	for _, target := range []string{"app-10", "app-11"} {
+		h.core.recordConnectFailure(h.core.targets[target])
+	}
+	must.True(t, h.core.cannotConnect(h.core.targets["pool-00"]))
+	h.advance(3 * time.Second)
+	must.False(t, h.core.cannotConnect(h.core.targets["pool-00"]))
+}
+
+// With very many silent attempts, one Step computes few placements: the others follow soon.
+func TestManySilentAttemptsDoNotHoldTheInstanceUp(t *testing.T) {
+	h := newHarness(t, 60)
+	h.core.opts.RetrySlack = 1000
+	sound := h.submit(routeShort, 4000)
+	for range 300 {
+		h.deliverFirstEvent(h.submit(routeShort, 4000))
+		h.advance(time.Millisecond)
+	}
+	for i := range 60 {
+		h.listTarget("pool", 60+i, "a")
+	}
+	for h.now < 1900*time.Millisecond {
+		cancelled := len(h.cancels)
+		h.now += time.Millisecond
+		h.deliverFirstEvent(sound)
+		must.LessEq(t, maxReplacementSearches, len(h.cancels)-cancelled)
+	}
+	must.Greater(t, 200, len(h.cancels))
+}
--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -99,6 +99,17 @@
 	t.loads = slices.DeleteFunc(t.loads, func(other *trackedLoad) bool { return other == tracked })
 }
 
+// requestCount is the number of requests that hold or wait for a slot.
+func (t *targetState) requestCount() int {
+	count := 0
+	for _, tracked := range t.loads {
+		if !tracked.HelperPart {
+			count++
+		}
+	}
+	return count
+}
+
 // markFirstEvent records the first event of a load: its prefill is complete.
 func (t *targetState) markFirstEvent(now time.Duration, tracked *trackedLoad) {
 	t.advancePrefills(now)
