--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -78,6 +78,8 @@
 
 	relayedBy string // name of the peer that serves the current attempt, empty for none
 	relays    int    // peers to which the request was sent
+	// otherVersionPeers are the names of peers whose configuration does not allow the request.
+	otherVersionPeers []string
 
 	reservation *reservation
 
@@ -106,7 +108,7 @@
 		arrival: ev, arrivedAt: c.now, deadline: ev.Deadline,
 		value: requestValue(ev.PromptTokens), lastEventID: ev.ResumeAfter, fingerprints: fingerprintsOf(&ev),
 	}
-	if timeout := ev.Route.Timeout; timeout > 0 {
+	if timeout := ev.Route.Timeout; timeout > 0 && !ev.Relayed { // else the peer has applied its own
 		a.deadline = min(a.deadline, c.now+timeout)
 	}
 	c.requests[ev.Request] = a
@@ -151,6 +153,7 @@
 // dispatch chooses targets for the next attempt and sends it, reserves memory first,
 // lets the request wait, or ends the request.
 func (c *Core) dispatch(a *activeRequest) {
+	c.followConfig(a)
 	if c.isBlocked(a) {
 		c.refuseOrFail(a, result.Quarantined, quarantineRetryAfter)
 		return
