fleet: plain answers are signs of life for peers

Cause: only first events of streams and the ends of loads reached the peers; ends are no sign of life any more, since a load also ends when it is given up.

The key of a request that is answered without an event before is among the first events of the message. The message keeps its form, and older builds read it as a sign of life, too. Failed before: TestPeersHearOfPlainAnswers ("expected equality").

--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -87,6 +87,7 @@
 	switch ev.Outcome {
 	case OutcomeComplete:
 		c.recordSuccess(target)
+		c.tellAnswer(a)
 		c.recordAnswer(a, ev)
 		c.removeAttemptLoads(a)
 		c.finishRequest(a, Finish{Code: result.Complete, ForwardAnswer: true})
@@ -119,6 +120,17 @@
 	}
 }
 
+// tellAnswer tells the peers that a target has answered a request without any event before.
+func (c *Core) tellAnswer(a *activeRequest) {
+	if a.attemptDeliveredEvent {
+		return
+	}
+	for _, placed := range a.loads {
+		c.outbox.pending.FirstEvents = append(c.outbox.pending.FirstEvents, placed.load.Key)
+		c.outbox.recordChange(placed.load.Key, placed.target)
+	}
+}
+
 // logAttemptEnd logs and counts how an attempt ended without a complete answer.
 func (c *Core) logAttemptEnd(a *activeRequest) {
 	ev := a.lastEnd
--- a/internal/fleet/silence_test.go
+++ b/internal/fleet/silence_test.go
@@ -359,3 +359,23 @@
 	}
 	must.Greater(t, 200, len(h.cancels))
 }
+
+// Plain answers at one instance are a sign of life for the others.
+func TestPeersHearOfPlainAnswers(t *testing.T) {
+	h, peer := newHarness(t, 0), newHarness(t, 0)
+	id := h.submit(routeIdempotent, 0)
+	target := h.lastSend(id).Target.ID
+	peer.now = 5 * time.Second
+	tell := func() {
+		h.advance(100 * time.Millisecond)
+		for _, g := range h.gossips {
+			peer.step(PeerGossip{From: "front-2", Gossip: g.Gossip})
+		}
+		h.gossips = nil
+	}
+	tell()
+	must.Eq(t, 0, peer.core.targets[target].lastHeardAt)
+	h.step(AttemptEnd{Attempt: h.lastSend(id).Attempt, Outcome: OutcomeComplete})
+	tell()
+	must.Eq(t, peer.now, peer.core.targets[target].lastHeardAt)
+}
