fleet, forward: a caller that reads nothing is no silence of its target

Cause: progress is reported when an event has been written, and a write that waits for the caller looks like a target that sends nothing. The rim now reports a write that waits for 200 ms; until the next event the attempt is not silent. A report that the event overtook is dropped.

--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -15,7 +15,7 @@
 		a.timeToFirstEvent = c.now - a.arrivedAt
 		c.emit(Observe{"first_event_seconds", a.arrival.Route.Name, a.timeToFirstEvent})
 	}
-	a.anyEventDelivered, a.lastEventAt, a.judgedAt = true, c.now, 0
+	a.anyEventDelivered, a.lastEventAt, a.callerBlocked, a.judgedAt = true, c.now, false, 0
 	if ev.EventID != "" {
 		a.lastEventID = ev.EventID
 	}
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -110,7 +110,7 @@
 // isFromTarget reports whether an event is a part of a target's answer.
 func isFromTarget(ev Event) bool {
 	switch ev.(type) {
-	case Progress, AttemptEnd:
+	case Progress, CallerBlocked, AttemptEnd:
 		return true
 	}
 	return false
@@ -139,6 +139,8 @@
 		c.handleLeavingStated(ev)
 	case Progress:
 		c.handleProgress(ev)
+	case CallerBlocked:
+		c.handleCallerBlocked(ev)
 	case AttemptEnd:
 		c.handleAttemptEnd(ev)
 	case CallerLeft:
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -123,6 +123,14 @@
 	Limit   Limit
 }
 
+// CallerBlockedDelay is how long an event of the answer waits for its caller until that is
+// reported.
+const CallerBlockedDelay = 200 * time.Millisecond
+
+// CallerBlocked reports that an event of the answer has waited for CallerBlockedDelay to be
+// written to its caller.
+type CallerBlocked struct{ Attempt AttemptID }
+
 // AttemptOutcome is the way in which an attempt ended, as far as it is known.
 type AttemptOutcome uint8
 
@@ -332,6 +340,7 @@
 func (Connected) fleetEvent()         {}
 func (RequestArrived) fleetEvent()    {}
 func (Progress) fleetEvent()          {}
+func (CallerBlocked) fleetEvent()     {}
 func (AttemptEnd) fleetEvent()        {}
 func (CallerLeft) fleetEvent()        {}
 func (PeerGossip) fleetEvent()        {}
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -66,6 +66,7 @@
 	sentAt                time.Duration
 	lastEventAt           time.Duration // of the last event; of the send before the first event
 	predictedFirstEvent   time.Duration // from sentAt
+	callerBlocked         bool          // an event of the current attempt waits for the caller
 	judgedAt              time.Duration // see settleWait; zero while the attempt is not silent
 	predictedFirstEventMS float64       // the same by the engine model alone
 	timeToFirstEvent      time.Duration // from arrival to the first event
@@ -260,7 +261,7 @@
 func (c *Core) sendAttempt(a *activeRequest, p placement, tickets []string) {
 	c.lastAttemptID++
 	a.attempt, a.target, a.attemptDeliveredEvent, a.hasFailureAnswer = c.lastAttemptID, p.primary, false, false
-	a.survivalRecorded, a.judgedAt = false, 0
+	a.survivalRecorded, a.callerBlocked, a.judgedAt = false, false, 0
 	a.sentAt, a.predictedFirstEvent, a.predictedFirstEventMS = c.now, fromMS(p.firstEventMS), p.uncorrectedFirstEventMS
 	if !a.anyEventDelivered {
 		a.lastEventAt = c.now
--- a/internal/fleet/silence.go
+++ b/internal/fleet/silence.go
@@ -143,6 +143,9 @@
 	if wait := c.settleWait(a); wait > 0 {
 		return wait
 	}
+	if a.callerBlocked {
+		return silenceCheckInterval
+	}
 	c.recordSilence(a)
 	if c.now < c.earliestReplacement(a) || c.isHeard(a) {
 		return silenceCheckInterval
@@ -322,6 +325,19 @@
 	c.recordHeard(target)
 }
 
+// handleCallerBlocked records that an attempt waits for its caller, not for its target. A
+// report that is older than the last event is dropped.
+func (c *Core) handleCallerBlocked(ev CallerBlocked) {
+	a := c.attempts[ev.Attempt]
+	if a == nil || c.now-a.silentSince() < CallerBlockedDelay {
+		return
+	}
+	a.callerBlocked = true
+	if a.relayedBy == "" {
+		c.recordHeardHere(a.target)
+	}
+}
+
 // replaceSilentAttempts replaces the attempts that are silent at those targets that can't
 // be connected to.
 func (c *Core) replaceSilentAttempts(unreachable func(*targetState) bool) {
--- a/internal/fleet/silence_test.go
+++ b/internal/fleet/silence_test.go
@@ -379,3 +379,21 @@
 	tell()
 	must.Eq(t, peer.now, peer.core.targets[target].lastHeardAt)
 }
+
+// A caller that reads nothing for a while is no silence of its target.
+func TestCallerThatReadsNothingIsNoSilenceOfItsTarget(t *testing.T) {
+	h := newHarness(t, 4)
+	id := h.submit(routeShort, 4000)
+	attempt := h.lastSend(id).Attempt
+	h.step(Progress{Attempt: attempt, EventID: "1"})
+	h.advance(250 * time.Millisecond)
+	h.step(CallerBlocked{attempt})
+	h.advance(1700 * time.Millisecond)
+	must.SliceEmpty(t, h.cancels)
+	must.Eq(t, 0, h.logCounts["target-avoided"])
+	// A report that was overtaken by the event holds nothing up.
+	h.step(Progress{Attempt: attempt, EventID: "2"})
+	h.step(CallerBlocked{attempt})
+	h.advance(1500 * time.Millisecond)
+	must.Eq(t, 2, h.sendCount(id))
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -282,7 +282,10 @@
 			continue
 		}
 		x.writeStreamHead(resp)
-		if err := x.writeEvent(event); err != nil {
+		blocked := time.AfterFunc(fleet.CallerBlockedDelay, func() { x.node.Step(fleet.CallerBlocked{Attempt: send.Attempt}) })
+		err = x.writeEvent(event)
+		blocked.Stop()
+		if err != nil {
 			return fleet.AttemptEnd{Outcome: fleet.OutcomeCallerGone, Cause: err.Error()}
 		}
 		if id != "" {
