--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -15,19 +15,20 @@
 		a.timeToFirstEvent = c.now - a.arrivedAt
 		c.emit(Observe{"first_event_seconds", a.arrival.Route.Name, a.timeToFirstEvent})
 	}
-	a.anyEventDelivered, a.lastEventAt = true, c.now
+	a.anyEventDelivered, a.lastEventAt, a.callerBlocked, a.judgedAt = true, c.now, false, 0
 	if ev.EventID != "" {
 		a.lastEventID = ev.EventID
 	}
 	if a.relayedBy != "" {
 		return
 	}
-	c.recordHeard(a.target)
+	c.recordHeardHere(a.target)
 	if a.attemptDeliveredEvent {
 		c.recordLongRun(a)
 		return
 	}
 	a.attemptDeliveredEvent, a.firstEventAt = true, c.now
+	c.holdRetries(a, 0)
 	c.recordLimit(a, ev.Limit)
 	c.updateFirstEventRatio(a)
 	c.recordSuccess(a.target)
@@ -41,18 +42,6 @@
 	c.scheduleGossip()
 }
 
-// handleCallerBlocked records that an attempt has sent more than its caller reads.
-func (c *Core) handleCallerBlocked(ev CallerBlocked) {
-	a := c.attempts[ev.Attempt]
-	if a == nil {
-		return
-	}
-	a.callerBlocked = ev.Blocked
-	if a.relayedBy == "" {
-		c.recordHeard(a.target)
-	}
-}
-
 // recordTargetFailure counts a failure against the target of the current attempt, which the
 // request does not try again.
 func (c *Core) recordTargetFailure(a *activeRequest, severe bool) {
@@ -93,11 +82,12 @@
 	}
 	c.logAttemptEnd(a)
 	if ev.Outcome.isAnswer() {
-		c.recordHeard(target)
+		c.recordHeardHere(target)
 	}
 	switch ev.Outcome {
 	case OutcomeComplete:
 		c.recordSuccess(target)
+		c.tellAnswer(a)
 		c.recordAnswer(a, ev)
 		c.removeAttemptLoads(a)
 		c.finishRequest(a, Finish{Code: result.Complete, ForwardAnswer: true})
@@ -130,6 +120,17 @@
 	}
 }
 
+// tellAnswer tells the peers that a target has answered a request without any event before.
+func (c *Core) tellAnswer(a *activeRequest) {
+	if a.attemptDeliveredEvent {
+		return
+	}
+	for _, placed := range a.loads {
+		c.outbox.pending.FirstEvents = append(c.outbox.pending.FirstEvents, placed.load.Key)
+		c.outbox.recordChange(placed.load.Key, placed.target)
+	}
+}
+
 // logAttemptEnd logs and counts how an attempt ended without a complete answer.
 func (c *Core) logAttemptEnd(a *activeRequest) {
 	ev := a.lastEnd
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -54,18 +54,21 @@
 	instanceDomainsEpoch int      // incremented by each change of instanceDomains
 	outbox               outbox
 
-	retryBudgets      map[string]*retryBudget // by service
-	culprits          *quarantine.Culprits
-	announcedVerdicts map[quarantine.Fingerprint]bool // by this instance
-	reportedCrashes   []reportedCrash                 // own ones that the full messages repeat
-	targetChecks      map[incarnation]*targetCheck    // of targets with broken runs
-	demands           map[string]*demand              // by service
-	firstEventRatios  map[string]float64              // see firstEventRatio, by service
-	domains           map[string]*domainHealth        // failure domains that failed since their last success
-	paths             map[string]*targetPath          // by service
-	relayedCount      int                             // requests of peers in flight
-	stop              stopState
-	lastArrivalAt     time.Duration
+	retryBudgets        map[string]*retryBudget // by service
+	culprits            *quarantine.Culprits
+	announcedVerdicts   map[quarantine.Fingerprint]bool // by this instance
+	reportedCrashes     []reportedCrash                 // own ones that the full messages repeat
+	targetChecks        map[incarnation]*targetCheck    // of targets with broken runs
+	demands             map[string]*demand              // by service
+	firstEventRatios    map[string]float64              // see firstEventRatio, by service
+	domains             map[string]*domainHealth        // failure domains that failed since their last success
+	paths               map[string]*targetPath          // by service
+	relayedCount        int                             // requests of peers in flight
+	stop                stopState
+	lastArrivalAt       time.Duration
+	hasPulse            bool          // a timer of startPulse is set
+	replacementSearches int           // in this Step
+	settledAt           time.Duration // what arrived while this instance was held up is read until then
 }
 
 // New returns a Core without configuration and targets.
@@ -86,17 +89,33 @@
 }
 
 // Step advances the time to now, runs the timers that are due, handles one event
-// and returns the effects that the caller has to carry out, in order. The returned
-// slice is valid until the next Step.
+// and returns the effects that the caller has to carry out, in order. A target's answer is
+// handled before the timers. The returned slice is valid until the next Step.
 func (c *Core) Step(now time.Duration, ev Event) []Effect {
 	c.now = max(c.now, now)
 	c.effects = c.effects[:0]
-	c.timers.Run(c.now)
-	c.handleEvent(ev)
+	c.replacementSearches = 0
+	c.recordHoldUp()
+	if isFromTarget(ev) { // it has arrived before the timers that are due now
+		c.handleEvent(ev)
+		c.timers.Run(c.now)
+	} else {
+		c.timers.Run(c.now)
+		c.handleEvent(ev)
+	}
 	c.emitGossip()
 	return c.effects
 }
 
+// isFromTarget reports whether an event is a part of a target's answer.
+func isFromTarget(ev Event) bool {
+	switch ev.(type) {
+	case Progress, CallerBlocked, AttemptEnd:
+		return true
+	}
+	return false
+}
+
 func (c *Core) handleEvent(ev Event) {
 	switch ev := ev.(type) {
 	case Configure:
--- a/internal/fleet/silence.go
+++ b/internal/fleet/silence.go
@@ -13,8 +13,9 @@
 	// minStallTimeout is the least pause between events after which an attempt counts as
 	// overdue; a healthy target sends something with each pass.
 	minStallTimeout = 900 * time.Millisecond
-	// minFirstEventTimeout is the same for the first event, which has a time predicted for it.
-	minFirstEventTimeout = 400 * time.Millisecond
+	// minResumeTimeout is the same for the first event of an attempt that goes on with a stream:
+	// its caller waits already.
+	minResumeTimeout = 400 * time.Millisecond
 	// overdueFactor is the multiple of the predicted time to the first event, or of the
 	// route's MaxEventGap, after which an attempt counts as overdue.
 	overdueFactor = 1.25
@@ -28,8 +29,19 @@
 	// margin for what the prediction leaves out.
 	lastChanceFactor = 1.5
 	lastChanceMargin = 700 * time.Millisecond
+	// minSilentTargets is the number of targets from which the silence of all that owe an
+	// answer is not taken for their death.
+	minSilentTargets = 3
+	// spareRetries is the number of retries that are kept in case that the replacement is
+	// rejected.
+	spareRetries = 1
 	// silenceCheckInterval is the time between two looks at an overdue attempt.
 	silenceCheckInterval = 100 * time.Millisecond
+	// maxReplacementSearches bounds the placements that one Step computes for silent
+	// attempts: with many targets, one takes milliseconds. The others follow
+	// silenceSearchDelay later.
+	maxReplacementSearches = 4
+	silenceSearchDelay     = 5 * time.Millisecond
 )
 
 // callerLeavesAt is the time at which the caller disconnects unless the next event
@@ -52,13 +64,18 @@
 
 // overdueAt is the time at which the next event of the current attempt is late.
 func (c *Core) overdueAt(a *activeRequest) time.Duration {
-	if !a.attemptDeliveredEvent {
-		return a.sentAt + max(minFirstEventTimeout, time.Duration(overdueFactor*float64(a.predictedFirstEvent)))
+	least := minStallTimeout
+	switch {
+	case c.cannotConnect(a.target):
+		least = unreachableSilence
+	case a.anyEventDelivered && !a.attemptDeliveredEvent:
+		least = minResumeTimeout
 	}
-	if c.cannotConnect(a.target) {
-		return a.lastEventAt + unreachableSilence
+	expected := a.predictedFirstEvent
+	if a.attemptDeliveredEvent {
+		expected = a.arrival.Route.MaxEventGap
 	}
-	return a.lastEventAt + max(minStallTimeout, time.Duration(overdueFactor*float64(a.arrival.Route.MaxEventGap)))
+	return a.silentSince() + max(least, time.Duration(overdueFactor*float64(expected)))
 }
 
 // presumedDeadAt is the time from which the target of the current attempt is taken for dead
@@ -71,11 +88,11 @@
 	return silentSince + max(maxSoundSilence, c.expectedSilence(a))
 }
 
-// cannotConnect reports whether this instance can't connect to other targets of the
-// target's failure domain, or to any of its service.
+// cannotConnect reports whether this instance could not connect to other targets of the
+// target's failure domain lately, or can't to any of its service.
 func (c *Core) cannotConnect(target *targetState) bool {
 	d := c.domains[target.FailureDomain]
-	return d != nil && len(d.failedTargets) >= domainFailureThreshold || c.pathTo(target.Service).state == pathLost
+	return d != nil && c.now < d.avoidUntil+domainRetryDelay || c.pathTo(target.Service).state == pathLost
 }
 
 // expectedSilence is how long a healthy target may send nothing to any caller: the
@@ -126,16 +143,26 @@
 	if overdueAt := c.overdueAt(a); c.now < overdueAt {
 		return overdueAt - c.now
 	}
+	if wait := c.settleWait(a); wait > 0 {
+		return wait
+	}
+	if a.callerBlocked {
+		return silenceCheckInterval
+	}
 	c.recordSilence(a)
-	if from := c.earliestReplacement(a); c.now < from {
-		return min(from-c.now, silenceCheckInterval)
+	if c.now < c.earliestReplacement(a) || c.isHeard(a) {
+		return silenceCheckInterval
 	}
+	if c.replacementSearches >= maxReplacementSearches {
+		return silenceSearchDelay
+	}
+	c.replacementSearches++
 	r, ok := c.findReplacement(a)
 	if !ok {
 		return silenceCheckInterval
 	}
 	if leaveAt := min(c.presumedDeadAt(a), a.lastChance(fromMS(r.placement.firstEventMS))); c.now < leaveAt {
-		return min(leaveAt-c.now, silenceCheckInterval)
+		return leaveAt - c.now
 	}
 	c.replaceAttempt(a, r)
 	return 0
@@ -147,6 +174,20 @@
 	return min(c.presumedDeadAt(a), a.lastChance(2*a.predictedFirstEvent))
 }
 
+// isHeard reports whether the target of the current attempt answers other requests of this
+// instance: it is late, not silent, and another target would have to repeat the prefill done
+// so far. Of a split prompt, another target may keep it waiting.
+func (c *Core) isHeard(a *activeRequest) bool {
+	if len(a.loads) > 1 && !a.attemptDeliveredEvent {
+		return false
+	}
+	silence := minStallTimeout
+	if c.cannotConnect(a.target) {
+		silence = unreachableSilence
+	}
+	return c.now-a.target.heardHereAt < silence
+}
+
 // lastChance is the time by which another attempt has to begin if its first event, which
 // takes firstEvent, is to find the caller.
 func (a *activeRequest) lastChance(firstEvent time.Duration) time.Duration {
@@ -162,7 +203,7 @@
 // findReplacement returns an attempt that would start at once if the current one were given
 // up, and whose first event is predicted to find the caller.
 func (c *Core) findReplacement(a *activeRequest) (r replacement, ok bool) {
-	if a.attemptsRun+1 >= a.maxAttempts() || !c.hasRetry(a.service) || c.isQuarantined(a) {
+	if a.attemptsRun+1 >= a.maxAttempts() || !c.hasRetries(a.service, 1+spareRetries) || c.isQuarantined(a) {
 		return replacement{}, false
 	}
 	switch c.pathTo(a.service).state {
@@ -172,6 +213,9 @@
 		r.relayPeer = c.relayPeer(a)
 		return r, r.relayPeer != "" && !c.isRelayDoubted(r.relayPeer, a.service) && c.canWaitBeforeStopEnds(a)
 	}
+	if c.isServiceSilent(a.service) && !c.cannotConnect(a.target) {
+		return replacement{}, false
+	}
 	r.placement = c.placeElsewhere(a)
 	p := &r.placement
 	if p.primary == nil || p.needsTickets || c.firstEventTooLate(a, *p) || c.shouldWait(a, *p) {
@@ -191,7 +235,8 @@
 }
 
 // placeElsewhere returns the placement that the request would get if its current attempt
-// had ended and its target were avoided. There is none if all other targets are avoided.
+// had ended, and its target and those without a free slot were avoided. There is none if all
+// other targets are avoided.
 func (c *Core) placeElsewhere(a *activeRequest) placement {
 	loads := make([][]*trackedLoad, len(a.loads))
 	for i, placed := range a.loads {
@@ -201,6 +246,11 @@
 	}
 	tried := a.triedTargets
 	a.triedTargets = append(slices.Clone(tried), a.target.ID)
+	for _, target := range c.serviceTargets(a.service) {
+		if c.engineOf(a) != nil && target.requestCount() >= target.Slots {
+			a.triedTargets = append(a.triedTargets, target.ID)
+		}
+	}
 	p := c.choosePlacement(a)
 	if p.primary != nil && !c.isUsable(a, p.primary) {
 		p = placement{}
@@ -212,6 +262,23 @@
 	return p
 }
 
+// isServiceSilent reports whether all targets of a service that owe this instance an answer
+// are silent, and they are several: another one would hardly be heard either.
+func (c *Core) isServiceSilent(service string) bool {
+	silent := 0
+	for _, target := range c.serviceTargets(service) {
+		if c.now-target.heardHereAt < minStallTimeout {
+			return false
+		}
+		if slices.ContainsFunc(target.loads, func(tracked *trackedLoad) bool {
+			return tracked.owner == "" && !tracked.HelperPart && c.now-tracked.addedAt >= minStallTimeout
+		}) {
+			silent++
+		}
+	}
+	return silent >= minSilentTargets
+}
+
 // replaceAttempt cancels the current attempt and makes another one.
 func (c *Core) replaceAttempt(a *activeRequest, r replacement) {
 	c.log("target-silent", "request", a.arrival.ID, "attempt", a.attempt, "target", a.target.ID,
@@ -221,6 +288,7 @@
 	c.removeAttemptLoads(a)
 	a.attemptsRun++
 	c.takeRetry(a.service)
+	c.holdRetries(a, spareRetries)
 	c.incrementCounter("retries", "silent")
 	if r.relayPeer != "" {
 		c.sendToPeer(a, r.relayPeer)
@@ -245,7 +313,7 @@
 	target.health.avoidUntil = max(target.health.avoidUntil, c.now+minTargetRetryDelay)
 }
 
-// recordHeard records that a target has sent something, which ends its silence.
+// recordHeard records that a target has sent something to anybody, which ends its silence.
 func (c *Core) recordHeard(target *targetState) {
 	target.lastHeardAt = c.now
 	if target.silenceCountedAt > 0 {
@@ -254,6 +322,25 @@
 	}
 }
 
+// recordHeardHere is recordHeard for what was sent to this instance.
+func (c *Core) recordHeardHere(target *targetState) {
+	target.heardHereAt = c.now
+	c.recordHeard(target)
+}
+
+// handleCallerBlocked records that an attempt waits for its caller, not for its target. A
+// report that is older than the last event is dropped.
+func (c *Core) handleCallerBlocked(ev CallerBlocked) {
+	a := c.attempts[ev.Attempt]
+	if a == nil || c.now-a.silentSince() < CallerBlockedDelay {
+		return
+	}
+	a.callerBlocked = true
+	if a.relayedBy == "" {
+		c.recordHeardHere(a.target)
+	}
+}
+
 // replaceSilentAttempts replaces the attempts that are silent at those targets that can't
 // be connected to.
 func (c *Core) replaceSilentAttempts(unreachable func(*targetState) bool) {
--- a/internal/fleet/silence_test.go
+++ b/internal/fleet/silence_test.go
@@ -297,3 +297,103 @@
 	h.step(Progress{Attempt: h.lastSend(id).Attempt, EventID: "2"})
 	must.True(t, h.core.targets[silent].health.usable(h.now))
 }
+
+// A stream was moved with the last retry of the budget. Its new target rejected it, and it
+// was cut, although the silent one would have gone on.
+func TestReplacementThatIsRejectedHasAnotherRetry(t *testing.T) {
+	for name, end := range map[string]AttemptEnd{
+		"rejected": {Outcome: OutcomeNotRun, Status: 503}, "not connected": {Outcome: OutcomeNotConnected}, "withheld": {Outcome: OutcomeWithheld},
+	} {
+		for retries := range 4 {
+			h := newHarness(t, 4)
+			id := h.submit(routeShort, 4000)
+			h.step(Progress{Attempt: h.lastSend(id).Attempt, EventID: "1"})
+			h.core.opts.RetryRatio, h.core.opts.RetrySlack = 0, float64(retries)
+			h.advance(1500 * time.Millisecond)
+			must.Eq(t, retries > 1, h.sendCount(id) == 2, must.Sprintf("%s, %d retries", name, retries))
+			if retries > 1 {
+				end.Attempt = h.lastSend(id).Attempt
+				h.step(end)
+				must.MapNotContainsKey(t, h.finishes, id, must.Sprintf("%s, %d retries", name, retries))
+				must.Eq(t, 3, h.sendCount(id))
+				h.deliverFirstEvent(id)
+				must.Eq(t, 0, h.core.currentRetryBudget("pool").held)
+			}
+		}
+	}
+}
+
+// Failed connections of long ago say nothing of a target that is silent now.
+func TestOldConnectFailuresDoNotShortenTheSilence(t *testing.T) {
+	h := newHarness(t, 0)
+	for i, domain := range []string{"b", "b", "a"} {
+		h.listTarget("pool", i, domain)
+	}
+	h.listTarget("app", 10, "b")
+	h.listTarget("app", 11, "b")
+	for _, target := range []string{"app-10", "app-11"} {
+		h.core.recordConnectFailure(h.core.targets[target])
+	}
+	must.True(t, h.core.cannotConnect(h.core.targets["pool-00"]))
+	h.advance(3 * time.Second)
+	must.False(t, h.core.cannotConnect(h.core.targets["pool-00"]))
+}
+
+// With very many silent attempts, one Step computes few placements: the others follow soon.
+func TestManySilentAttemptsDoNotHoldTheInstanceUp(t *testing.T) {
+	h := newHarness(t, 60)
+	h.core.opts.RetrySlack = 1000
+	sound := h.submit(routeShort, 4000)
+	for range 300 {
+		h.deliverFirstEvent(h.submit(routeShort, 4000))
+		h.advance(time.Millisecond)
+	}
+	for i := range 60 {
+		h.listTarget("pool", 60+i, "a")
+	}
+	for h.now < 1900*time.Millisecond {
+		cancelled := len(h.cancels)
+		h.now += time.Millisecond
+		h.deliverFirstEvent(sound)
+		must.LessEq(t, maxReplacementSearches, len(h.cancels)-cancelled)
+	}
+	must.Greater(t, 200, len(h.cancels))
+}
+
+// Plain answers at one instance are a sign of life for the others.
+func TestPeersHearOfPlainAnswers(t *testing.T) {
+	h, peer := newHarness(t, 0), newHarness(t, 0)
+	id := h.submit(routeIdempotent, 0)
+	target := h.lastSend(id).Target.ID
+	peer.now = 5 * time.Second
+	tell := func() {
+		h.advance(100 * time.Millisecond)
+		for _, g := range h.gossips {
+			peer.step(PeerGossip{From: "front-2", Gossip: g.Gossip})
+		}
+		h.gossips = nil
+	}
+	tell()
+	must.Eq(t, 0, peer.core.targets[target].lastHeardAt)
+	h.step(AttemptEnd{Attempt: h.lastSend(id).Attempt, Outcome: OutcomeComplete})
+	tell()
+	must.Eq(t, peer.now, peer.core.targets[target].lastHeardAt)
+}
+
+// A caller that reads nothing for a while is no silence of its target.
+func TestCallerThatReadsNothingIsNoSilenceOfItsTarget(t *testing.T) {
+	h := newHarness(t, 4)
+	id := h.submit(routeShort, 4000)
+	attempt := h.lastSend(id).Attempt
+	h.step(Progress{Attempt: attempt, EventID: "1"})
+	h.advance(250 * time.Millisecond)
+	h.step(CallerBlocked{attempt})
+	h.advance(1700 * time.Millisecond)
+	must.SliceEmpty(t, h.cancels)
+	must.Eq(t, 0, h.logCounts["target-avoided"])
+	// A report that was overtaken by the event holds nothing up.
+	h.step(Progress{Attempt: attempt, EventID: "2"})
+	h.step(CallerBlocked{attempt})
+	h.advance(1500 * time.Millisecond)
+	must.Eq(t, 2, h.sendCount(id))
+}
