fleetnode, drainconn: the operators' limits of heads and idle connections are in force

What callers saw: max-header-bytes, header-timeout-ms and idle-timeout-ms of the configuration had no effect. A head of up to 64 KiB was taken, a slow one was cut after 10 s without an answer, and an idle connection was kept for 120 s, whatever the operators had set.

Cause: the limits were decoded into fleet.Limits and read by nothing; http.Server takes its own once, at the start.

Now the connections of callers and relays enforce them (drainconn.LimitSource), and a configuration that comes into force changes them. Both are counted in refusals, connections that are closed as idle in connections_closed. A changed idle time holds for connections that wait already. After it has been lowered, they may wait within the former time for a third of config-ms more, which together with the two thirds that a configuration may take is within config-ms.

Why no request is lost by it: an idle connection is closed by its pending read, as in a stop, and bytes that have arrived by then are served. An answer is written by the goroutine that reads the head, after the answer before has been flushed and when a byte of the next head has been read, so it belongs to that request; the server never gets the rest of it. Nothing is changed in the bytes that the server parses. A relayed head may be 4 KiB longer, for the headers that an instance adds, and answers to peers name the idle time in Keep-Alive, which peers of older builds read too.

Ruled out: http.Server's fields (read once), a new server for each change (two servers on one listener, and open connections keep the old limits), counting in the handler (comes after the whole head has been read).

The listeners' arguments have become drainconn.Options; the test of the accepted connection and those of drainconn pass them in the new form and check what they did.

--- a/internal/drainconn/drainconn.go
+++ b/internal/drainconn/drainconn.go
@@ -4,46 +4,57 @@
 
 import (
 	"crypto/tls"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
-	"golang.org/x/sys/unix"
 )
 
-// tlsRequestTime is how long an idle connection with TLS may take to bring a next request
-// when it is to be closed.
-const tlsRequestTime = 500 * time.Millisecond
-
 // Listener accepts connections of callers, or of peers that relay their requests, and
 // ends them during a stop without losing a request that is just arriving. http.Server
 // cannot: it counts a connection as idle until it has read the whole head of the next
 // request, and would close it while that request is passed on.
 type Listener struct {
 	*net.TCPListener
-	log logr.Logger
-	// allowed says from which addresses connections are accepted; nil for all.
-	allowed  func(netip.Addr) bool
+	opts     Options
 	mu       sync.Mutex
 	conns    map[*drainedConn]bool
 	draining bool // connections are closed when they become idle
 }
 
-// Listen listens at an address, given as host:port. It accepts connections from the allowed
-// addresses, or from all if allowed is nil.
-func Listen(address string, allowed func(netip.Addr) bool, log logr.Logger) (*Listener, error) {
+// Options configures a Listener.
+type Options struct {
+	// Allowed says from which addresses connections are accepted; nil for all.
+	Allowed func(netip.Addr) bool
+	// Limits bound what callers may send; nil for the limits of http.Server alone. They do
+	// not apply to connections with TLS.
+	Limits *LimitSource
+	// ExtraHeadBytes are added to the limit of a head.
+	ExtraHeadBytes int
+	// OnReject is called before a request is rejected, and returns headers to add to the
+	// response; nil for none.
+	OnReject func(Rejection) http.Header
+	// OnIdleTimeout is called when a connection is closed because of Limits.IdleTime; may be
+	// nil.
+	OnIdleTimeout func()
+	Log           logr.Logger
+}
+
+// Listen listens at an address, given as host:port.
+func Listen(address string, opts Options) (*Listener, error) {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen at %s: %w", address, err)
 	}
 	l := New(listener.(*net.TCPListener))
-	l.log, l.allowed = log, allowed
+	l.opts = opts
+	if opts.Limits != nil {
+		opts.Limits.add(l)
+	}
 	return l, nil
 }
 
@@ -59,19 +70,24 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.allowed != nil && !l.allowed(conn.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()) {
-			l.log.Info("relay-connection-refused", "from", conn.RemoteAddr().String())
+		if l.opts.Allowed != nil && !l.opts.Allowed(conn.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()) {
+			l.opts.Log.Info("relay-connection-refused", "from", conn.RemoteAddr().String())
 			_ = conn.Close()
 			continue
 		}
-		c := &drainedConn{TCPConn: conn, listener: l, acceptedAt: time.Now()}
-		l.mu.Lock()
-		l.conns[c] = true
-		l.mu.Unlock()
-		return c, nil
+		return l.add(conn), nil
 	}
 }
 
+func (l *Listener) add(conn *net.TCPConn) *drainedConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := &drainedConn{TCPConn: conn, listener: l, acceptedAt: time.Now()}
+	c.waitingSince, c.waitUntil = c.acceptedAt, l.opts.Limits.waitUntil(c.acceptedAt)
+	l.conns[c] = true
+	return c
+}
+
 // RecordState is the http.Server.ConnState of the server. The server needs time-outs for
 // heads and idle connections: SetReadDeadline relies on them.
 func (l *Listener) RecordState(conn net.Conn, state http.ConnState) {
@@ -93,7 +109,7 @@
 		defer l.mu.Unlock()
 		c.setIdle(isTLS && overTLS.ConnectionState().NegotiatedProtocol == protocolHTTP2)
 		if l.draining {
-			_ = c.endReadIfIdle()
+			c.endReadUnlessUsed(0)
 		}
 	}
 }
@@ -109,9 +125,16 @@
 	defer l.mu.Unlock()
 	l.draining = true
 	for c := range l.conns {
-		if !c.endReadIfIdle() && time.Since(c.acceptedAt) >= unusedFor {
-			c.endReadIfUnused()
-		}
+		c.endReadUnlessUsed(unusedFor)
+	}
+}
+
+// applyLimits applies changed limits to the connections that wait for a request.
+func (l *Listener) applyLimits() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		c.applyIdleLimit()
 	}
 }
 
@@ -144,161 +167,3 @@
 	}
 	return n
 }
-
-// drainedConn is one connection.
-type drainedConn struct {
-	*net.TCPConn
-	listener   *Listener
-	acceptedAt time.Time
-	mu         sync.Mutex
-	bytesRead  bool // a byte has been read, perhaps of the TLS handshake
-	requested  bool // the server has read of a request
-	idle       bool // a request has ended, and no byte of the next has been read
-	isTLS      bool // bytes of a next request may be in the TLS layer while it is idle
-	isHTTP2    bool // bytes need not be of a request
-	endingRead bool // a read that gets no byte ends the connection
-}
-
-func (c *drainedConn) state() (used, idle bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.isUsed(), c.idle
-}
-
-// isUsed reports whether bytes of a request have been read. c.mu must be held.
-func (c *drainedConn) isUsed() bool {
-	if c.isTLS {
-		return c.requested
-	}
-	return c.bytesRead
-}
-
-func (c *drainedConn) setTLS(isTLS bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.isTLS = isTLS
-}
-
-// setActive notes that the server has read of a request.
-func (c *drainedConn) setActive() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.requested, c.idle = true, false
-	c.keepLocked()
-}
-
-func (c *drainedConn) setIdle(isHTTP2 bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.idle, c.isHTTP2 = true, isHTTP2
-}
-
-// endReadIfIdle closes the connection if it is idle, and reports whether it is.
-func (c *drainedConn) endReadIfIdle() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.idle {
-		c.endReadLocked()
-	}
-	return c.idle
-}
-
-// endReadIfUnused closes a connection that has not brought a byte.
-func (c *drainedConn) endReadIfUnused() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.isUsed() {
-		c.endReadLocked()
-	}
-}
-
-// endReadLocked lets the pending read fail, on which the server closes the connection. If
-// bytes of a request arrive first, the request is served. c.mu must be held.
-func (c *drainedConn) endReadLocked() {
-	deadline := time.Unix(1, 0)
-	if c.isTLS {
-		// The server may have got the beginning of a request from the TLS layer already.
-		if c.endingRead {
-			return // its time runs already
-		}
-		deadline = time.Now().Add(tlsRequestTime)
-	}
-	c.endingRead = true
-	_ = c.TCPConn.SetReadDeadline(deadline) // a broken connection ends without it
-}
-
-// Read implements net.Conn.
-func (c *drainedConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.isEndingRead() {
-		n, err = c.readArrived(p, err)
-	}
-	if n == 0 {
-		return n, err
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.bytesRead = true
-	if !c.isHTTP2 {
-		c.idle = false
-		c.keepLocked()
-	}
-	return n, err
-}
-
-// keepLocked keeps a connection open that was being closed. c.mu must be held.
-func (c *drainedConn) keepLocked() {
-	if c.endingRead {
-		c.endingRead = false
-		_ = c.TCPConn.SetReadDeadline(time.Time{}) // a broken connection fails at the next read
-	}
-}
-
-func (c *drainedConn) isEndingRead() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.endingRead
-}
-
-// readArrived reads bytes that arrived before the connection was closed: a read that begins
-// after its deadline returns none. It returns noneErr if there are none.
-func (c *drainedConn) readArrived(p []byte, noneErr error) (int, error) {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	n := 0
-	var rerr error
-	if err := raw.Control(func(fd uintptr) { n, _, rerr = unix.Recvfrom(int(fd), p, unix.MSG_DONTWAIT) }); err != nil {
-		return 0, err
-	}
-	if rerr != nil || n <= 0 {
-		return 0, noneErr
-	}
-	return n, nil
-}
-
-// SetReadDeadline implements net.Conn. It does not replace the deadline of a connection
-// that is being closed. http.Server, which has time-outs for idle connections and for
-// heads, removes the deadline of no connection that waits for a request, but after each
-// head. That request may have been read together with the one before, so that no read has
-// shown it.
-func (c *drainedConn) SetReadDeadline(t time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if t.IsZero() {
-		c.idle, c.endingRead = false, false
-	}
-	if c.endingRead {
-		return nil
-	}
-	return c.TCPConn.SetReadDeadline(t)
-}
-
-// Close implements net.Conn.
-func (c *drainedConn) Close() error {
-	c.listener.mu.Lock()
-	delete(c.listener.conns, c)
-	c.listener.mu.Unlock()
-	return c.TCPConn.Close()
-}
--- a/internal/drainconn/drainconn_test.go
+++ b/internal/drainconn/drainconn_test.go
@@ -10,7 +10,6 @@
 	"testing"
 	"time"
 
-	"github.com/go-logr/logr"
 	"github.com/shoenig/test/must"
 )
 
@@ -31,7 +30,7 @@
 
 func startCallerServer(t *testing.T) *callerServer {
 	t.Helper()
-	listener, err := Listen("127.0.0.1:0", nil, logr.Discard())
+	listener, err := Listen("127.0.0.1:0", Options{})
 	must.NoError(t, err)
 	s := &callerServer{Listener: listener}
 	s.server = newServer(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -122,7 +121,7 @@
 // A caller that sends its next request without waiting for an answer must not lose it when
 // the idle connections are closed: the request may have been read with the one before.
 func TestRequestReadWithTheOneBeforeIsNotCutByTheCloseOfIdleConnections(t *testing.T) {
-	listener, err := Listen("127.0.0.1:0", nil, logr.Discard())
+	listener, err := Listen("127.0.0.1:0", Options{})
 	must.NoError(t, err)
 	begun, cut := make(chan struct{}), make(chan bool, 1)
 	server := newServer(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -155,7 +154,7 @@
 // A request that arrives while the one before is being answered must not be lost because
 // the connection is closed as soon as it is idle.
 func TestRequestThatArrivedBeforeItsConnectionBecameIdleIsServed(t *testing.T) {
-	listener, err := Listen("127.0.0.1:0", nil, logr.Discard())
+	listener, err := Listen("127.0.0.1:0", Options{})
 	must.NoError(t, err)
 	begun, answer := make(chan struct{}), make(chan struct{})
 	server := newServer(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -122,7 +122,8 @@
 // one may serve the request.
 func isRefusalOfPeer(code result.Code) bool {
 	switch code {
-	case result.NoTarget, result.TargetsRefused, result.QueueFull, result.Stopping, result.NoConfiguration, result.UnknownRoute, result.Unauthenticated:
+	case result.NoTarget, result.TargetsRefused, result.QueueFull, result.Stopping, result.NoConfiguration, result.UnknownRoute, result.Unauthenticated,
+		result.HeaderTimeout:
 		return true
 	}
 	return code.Family() != result.FamilyRefused
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -16,6 +16,7 @@
 	"github.com/go-logr/logr"
 	"github.com/gorilla/mux"
 
+	"github.com/medlardeck/medlardeck/internal/drainconn"
 	"github.com/medlardeck/medlardeck/internal/fleet"
 	"github.com/medlardeck/medlardeck/internal/follow"
 	"github.com/medlardeck/medlardeck/internal/forward"
@@ -24,13 +25,6 @@
 
 // Timeouts and limits of an instance.
 const (
-	// headerTimeout and idleTimeout disconnect slow and idle callers. The
-	// platform's callers stay within the configured limits; these two only
-	// release leftover connections.
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 120 * time.Second
-	// maxHeaderBytes bounds the head of a request.
-	maxHeaderBytes = 64 << 10
 	// memoryLimitRatio is the share of the memory limit above which the garbage
 	// collector runs more often.
 	memoryLimitRatio = 0.7
@@ -79,6 +73,8 @@
 	exchange         *snapshotExchanger
 	callers          *requestServer
 	relays           *requestServer
+	limits           *drainconn.LimitSource // of callers and relays
+	metrics          *telemetry.Metrics
 	auxiliaryServers []*http.Server
 	following        atomic.Bool   // this instance follows the store
 	announcedEra     atomic.Uint64 // of the store that has the address; zero before the first write
@@ -101,7 +97,7 @@
 		return nil, fmt.Errorf("start instance %q: %w", s.Name, err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	i := &Instance{opts: opts, gossip: g, cancel: cancel, ctx: ctx}
+	i := &Instance{opts: opts, gossip: g, cancel: cancel, ctx: ctx, limits: newLimitSource(s.MaxConfigDelay), metrics: metrics}
 	g.versions = func() (uint64, follow.Position) { return 0, follow.Position{} }
 	g.followsStore = func() bool { return false }
 	messages := make(chan fleet.SendGossip, maxQueuedMessages)
@@ -112,7 +108,8 @@
 			ReservationTTL: s.ReservationTTL, Seed: seedFromName(s.Name),
 		},
 		HeaderCodec: opts.HeaderCodec, MemoryReserver: opts.MemoryReserver, Log: opts.Log, Metrics: metrics,
-		LocalIP: net.ParseIP(s.IP),
+		LocalIP:  net.ParseIP(s.IP),
+		OnConfig: func(c *fleet.Config) { i.limits.Set(callerLimits(c.Limits)) },
 		SendGossip: func(m fleet.SendGossip) {
 			select {
 			case messages <- m:
@@ -139,7 +136,7 @@
 	g.onPeerLoad = func(p fleet.PeerGossip) { i.node.Step(p) }
 	go g.receiveMessages()
 	go i.sendQueuedMessages(messages)
-	if err := i.startServers(metrics); err != nil {
+	if err := i.startServers(); err != nil {
 		i.Close()
 		return nil, fmt.Errorf("start instance %q: %w", s.Name, err)
 	}
@@ -243,14 +240,16 @@
 
 // startServers starts the servers for callers, for readiness and, if
 // configured, for metrics.
-func (i *Instance) startServers(metrics *telemetry.Metrics) error {
+func (i *Instance) startServers() error {
 	s := &i.opts.Settings
 	var err error
-	if i.callers, err = i.serveRequests(s.CallersAddress, i.node, nil); err != nil {
+	if i.callers, err = i.serveRequests(s.CallersAddress, i.node, drainconn.Options{}); err != nil {
 		return err
 	}
 	relayAddress := net.JoinHostPort(s.IP, strconv.Itoa(s.RelayPort))
-	if i.relays, err = i.serveRequests(relayAddress, i.node.RelayHandler(), i.gossip.isInstance); err != nil {
+	if i.relays, err = i.serveRequests(relayAddress, i.node.RelayHandler(), drainconn.Options{
+		Allowed: i.gossip.isInstance, ExtraHeadBytes: relayHeadBytes,
+	}); err != nil {
 		return err
 	}
 	ready := mux.NewRouter()
@@ -268,7 +267,7 @@
 		return nil
 	}
 	router := mux.NewRouter()
-	router.Handle("/metrics", metrics.Handler())
+	router.Handle("/metrics", i.metrics.Handler())
 	server := &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}
 	i.auxiliaryServers = append(i.auxiliaryServers, server)
 	return i.serve(server, i.opts.MetricsAddress)
--- a/internal/fleetnode/stop.go
+++ b/internal/fleetnode/stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"net/netip"
 	"time"
 
 	"github.com/medlardeck/medlardeck/internal/drainconn"
@@ -38,10 +37,11 @@
 	done   chan struct{} // closed when no more connections are accepted
 }
 
-// serveRequests listens at an address and serves it in the background. Connections are
-// accepted from all addresses, or from the allowed ones.
-func (i *Instance) serveRequests(address string, handler http.Handler, allowed func(netip.Addr) bool) (*requestServer, error) {
-	listener, err := drainconn.Listen(address, allowed, i.opts.Log)
+// serveRequests listens at an address and serves it in the background, within the limits of
+// the configuration.
+func (i *Instance) serveRequests(address string, handler http.Handler, opts drainconn.Options) (*requestServer, error) {
+	opts.Limits, opts.OnReject, opts.OnIdleTimeout, opts.Log = i.limits, i.refuseHead, i.countIdleTimeout, i.opts.Log
+	listener, err := drainconn.Listen(address, opts)
 	if err != nil {
 		return nil, err
 	}
@@ -53,10 +53,11 @@
 	return s, nil
 }
 
-// newRequestServer returns a server for the listener's connections.
+// newRequestServer returns a server for the listener's connections, which have limits of
+// their own: the server's are not reached before.
 func newRequestServer(l *drainconn.Listener, handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes + relayHeadBytes,
 		ConnState: l.RecordState,
 	}
 }
--- a/internal/fleetnode/stop_test.go
+++ b/internal/fleetnode/stop_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/go-logr/logr"
 	"github.com/shoenig/test/must"
+
+	"github.com/medlardeck/medlardeck/internal/drainconn"
 )
 
 // A connection that is being accepted when the listeners close must be counted, or the
@@ -17,11 +19,11 @@
 func TestConnectionBeingAcceptedIsCounted(t *testing.T) {
 	entered, release := make(chan struct{}), make(chan struct{})
 	i := &Instance{opts: Options{Log: logr.Discard()}, ctx: context.Background()}
-	s, err := i.serveRequests("127.0.0.1:0", http.NotFoundHandler(), func(netip.Addr) bool {
+	s, err := i.serveRequests("127.0.0.1:0", http.NotFoundHandler(), drainconn.Options{Allowed: func(netip.Addr) bool {
 		close(entered)
 		<-release
 		return true
-	})
+	}})
 	must.NoError(t, err)
 	i.callers = s
 	conn, err := net.Dial("tcp4", s.Addr().String())
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -91,6 +91,9 @@
 	Metrics        Metrics
 	// LocalIP is the address from which this instance connects to its peers.
 	LocalIP net.IP
+	// OnConfig is called when a configuration comes into force; may be nil. It must not
+	// block.
+	OnConfig func(*fleet.Config)
 	// SendGossip sends a message to the peers; nil for an instance without peers. It
 	// must not block.
 	SendGossip func(fleet.SendGossip)
@@ -163,6 +166,9 @@
 	}
 	if _, ok := ev.(fleet.Configure); ok && n.core.Config() != nil {
 		n.configuredOnce.Do(func() { close(n.configured) })
+		if n.opts.OnConfig != nil {
+			n.opts.OnConfig(n.core.Config())
+		}
 	}
 	due, ok := n.core.NextTimer()
 	if ok && (due != n.timerDue) {
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -30,10 +31,18 @@
 			return
 		}
 		r.Header.Del(headerAttemptsLeft)
+		n.setKeepAlive(w.Header())
 		n.serve(w, r, attemptsLeft)
 	})
 }
 
+// setKeepAlive tells a peer how long the connection of an answer may be idle.
+func (n *Node) setKeepAlive(h http.Header) {
+	if config, _ := n.Config(); config != nil && config.Limits.IdleTimeout > 0 {
+		h.Set("Keep-Alive", fmt.Sprintf("timeout=%d", int(config.Limits.IdleTimeout.Seconds())))
+	}
+}
+
 // isPeerError reports whether a peer has answered in place of a target.
 func isPeerError(send fleet.Send, h http.Header, signed bool) bool {
 	return send.Relay.Address != "" && !signed && h.Get(headerCode) != ""
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -96,6 +97,17 @@
 	n.writeError(w, metadata.ID, status, fleet.Finish{Code: code})
 }
 
+// RefuseHead records that a request is refused before its head has been read, and returns
+// headers of the answer with the given status.
+func (n *Node) RefuseHead(status int, code result.Code) http.Header {
+	n.opts.Log.Info("request-head-refused", "code", int(code), "result", code.String())
+	n.opts.Metrics.Add("refusals", code.String())
+	h := make(http.Header)
+	h.Set(headerCode, strconv.Itoa(int(code)))
+	setRetryAfter(h, status, staleRetryAfter)
+	return h
+}
+
 // refuseRequest answers a request that is not passed to the decision core.
 func (n *Node) refuseRequest(w http.ResponseWriter, r *http.Request, metadata RequestMetadata, code result.Code) {
 	n.opts.Log.Info("request-refused", "request", metadata.ID, "code", int(code), "result", code.String(), "host", r.Host)
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -19,6 +19,7 @@
 	ModelNotAllowed   Code = 2006
 	IdentityConflict  Code = 2007
 	HeadersTooLarge   Code = 2008
+	HeaderTimeout     Code = 2009
 	WorkspaceLimit    Code = 2010
 	QueueFull         Code = 2011
 	DeadlineUnmet     Code = 2012
@@ -85,6 +86,7 @@
 	ModelNotAllowed:   {"model-not-allowed", http.StatusForbidden, "The workspace may not use this model."},
 	IdentityConflict:  {"identity-conflict", http.StatusUnprocessableEntity, "The idempotency key was used before with a different request."},
 	HeadersTooLarge:   {"headers-too-large", http.StatusRequestHeaderFieldsTooLarge, "The headers exceed the limit."},
+	HeaderTimeout:     {"header-timeout", http.StatusRequestTimeout, "The headers were not complete within the time limit."},
 	WorkspaceLimit:    {"workspace-limit", http.StatusTooManyRequests, "The workspace has used up its limit."},
 	QueueFull:         {"queue-full", http.StatusServiceUnavailable, "The queue of the length class is full."},
 	DeadlineUnmet:     {"deadline-unmet", http.StatusServiceUnavailable, "The predicted finish lies beyond the time limit."},
