drainconn: bytes that are no request don't hold a stop to its end

What callers saw: nothing; an instance that stopped waited to the end of its grace time, since a few bytes on an idle connection made it count as one in use. A caller that had sent a part of a head and no more was cut at the end without an answer.

Cause: any byte took a connection out of the idle ones. Only a whole head, or http.Server's time-out of 10 s, ended that state.

Line ends alone don't begin a request any more. A head that has got no byte for a second during a stop is answered with 503 (stopping), which is true: the server has not got the whole of it. At the end of the stop this holds for all heads. A head that goes on is served, within its limit of time.

--- a/internal/drainconn/conn.go
+++ b/internal/drainconn/conn.go
@@ -107,13 +107,14 @@
 }
 
 // endReadUnlessUsed closes the connection if it is idle, or if it has been open for
-// unusedFor without a request.
+// unusedFor without a request, or if the head of a request has got no byte for as long.
 func (c *drainedConn) endReadUnlessUsed(unusedFor time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case c.isIdle(),
-		!c.isUsed() && time.Since(c.acceptedAt) >= unusedFor:
+		!c.isUsed() && time.Since(c.acceptedAt) >= unusedFor,
+		!c.isTLS && c.phase == readingHead && time.Since(c.head.lastByteAt) >= unusedFor:
 		c.endReadLocked()
 	}
 }
@@ -177,6 +178,7 @@
 		return false
 	}
 	c.keepLocked()
+	c.head.lastByteAt = time.Now()
 	c.head.add(p)
 	return c.head.tooLarge()
 }
@@ -184,7 +186,7 @@
 // beginHeadLocked notes that the server gets the head of a request. c.mu must be held.
 func (c *drainedConn) beginHeadLocked() {
 	now := time.Now()
-	c.phase, c.head = readingHead, head{}
+	c.phase, c.head = readingHead, head{lastByteAt: now}
 	if !c.isLimited() {
 		return
 	}
@@ -231,7 +233,7 @@
 // nothing, a request of which a part has been read is rejected.
 func (c *drainedConn) readAtDeadline(p []byte, deadlineErr error) (int, error) {
 	c.mu.Lock()
-	phase, ending, limited := c.phase, c.endingRead, c.isLimited()
+	phase, ending, limited, isTLS := c.phase, c.endingRead, c.isLimited(), c.isTLS
 	c.mu.Unlock()
 	if !ending && (phase == inRequest || !limited) {
 		return 0, deadlineErr
@@ -240,7 +242,9 @@
 		return n, err
 	}
 	switch {
-	case phase == readingHead && !ending:
+	case phase == readingHead && ending && !isTLS:
+		return 0, c.reject(Draining)
+	case phase == readingHead && limited:
 		return 0, c.reject(HeadTooSlow)
 	case !ending && c.listener.opts.OnIdleTimeout != nil:
 		c.listener.opts.OnIdleTimeout()
--- a/internal/drainconn/drainconn.go
+++ b/internal/drainconn/drainconn.go
@@ -119,7 +119,7 @@
 
 // CloseIdle closes the connections that wait for a next request, and from now on those
 // that would. Connections that have been open for unusedFor without bringing a request are
-// closed too.
+// closed too, and a request whose head has got no byte for as long is rejected.
 func (l *Listener) CloseIdle(unusedFor time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/drainconn/head.go
+++ b/internal/drainconn/head.go
@@ -8,12 +8,13 @@
 // head is the head of a request that is being read. It is only measured here; http.Server
 // parses it.
 type head struct {
-	until     time.Time // zero for no limit
-	maxBytes  int       // zero for no limit
-	bytes     int
-	lineBytes int  // of the current line, without its end
-	hasLine   bool // a line that is not empty has been read
-	complete  bool // the empty line at its end has been read
+	lastByteAt time.Time
+	until      time.Time // zero for no limit
+	maxBytes   int       // zero for no limit
+	bytes      int
+	lineBytes  int  // of the current line, without its end
+	hasLine    bool // a line that is not empty has been read
+	complete   bool // the empty line at its end has been read
 }
 
 // add measures bytes that have been read, up to the end of the head.
--- a/internal/drainconn/limits_test.go
+++ b/internal/drainconn/limits_test.go
@@ -370,3 +370,62 @@
 	_, _, bodies := s.seen()
 	must.Eq(t, []string{"/wait body!!"}, bodies)
 }
+
+// Bytes that are no request held a stop to its end.
+func TestBytesThatAreNoRequestDoNotHoldADrain(t *testing.T) {
+	for _, c := range []struct {
+		text   string
+		status int
+	}{{"\r\n", 0}, {"\r", 0}, {"GE", 503}, {"GET /x HTTP/1.1\r\nHost: h\r\n", 503}} {
+		t.Run(fmt.Sprintf("%q", c.text), func(t *testing.T) {
+			limited, unlimited := startLimitedServer(t, Limits{HeadBytes: 2000, HeadTime: 20 * time.Second, IdleTime: 20 * time.Second}), startCallerServer(t)
+			conn, br := limited.dialIdle(t)
+			must.Eq(t, c.status, drainWith(t, limited.Listener, conn, br, c.text))
+			conn, br = unlimited.dialIdle(t)
+			must.Eq(t, c.status, drainWith(t, unlimited.Listener, conn, br, c.text))
+		})
+	}
+}
+
+// drainWith writes text and drains the listener. It returns the status of the response on
+// the connection, or zero if there is none.
+func drainWith(t *testing.T, l *Listener, conn net.Conn, br *bufio.Reader, text string) (status int) {
+	t.Helper()
+	time.Sleep(20 * time.Millisecond)
+	write(t, conn, text)
+	time.Sleep(20 * time.Millisecond)
+	must.Eq(t, 1, l.Counts().Total())
+	answer := make(chan int, 1)
+	go func() {
+		defer func() { _ = conn.Close() }()
+		answer <- readStatus(t, br)
+	}()
+	for end := time.Now().Add(2 * time.Second); l.Counts().Total() > 0; {
+		must.True(t, time.Now().Before(end), must.Sprint("the connection is still open"))
+		l.CloseIdle(100 * time.Millisecond)
+		time.Sleep(10 * time.Millisecond)
+	}
+	return <-answer
+}
+
+// A head that goes on during a drain is served.
+func TestHeadThatGoesOnDuringADrainIsServed(t *testing.T) {
+	s := startLimitedServer(t, Limits{HeadBytes: 2000, HeadTime: 20 * time.Second, IdleTime: 20 * time.Second})
+	conn, br := s.dialIdle(t)
+	write(t, conn, "GET /x HTTP/1.1\r\n")
+	time.Sleep(50 * time.Millisecond)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 50 {
+			s.CloseIdle(200 * time.Millisecond)
+			time.Sleep(10 * time.Millisecond)
+		}
+	}()
+	for _, b := range strings.SplitAfter("Host: h\r\nX-More: 1\r\n\r\n", "\n") {
+		write(t, conn, b)
+		time.Sleep(100 * time.Millisecond)
+	}
+	must.Eq(t, 200, readStatus(t, br))
+	<-done
+}
--- a/internal/drainconn/reject.go
+++ b/internal/drainconn/reject.go
@@ -21,14 +21,20 @@
 	HeadTooLarge Rejection = iota
 	// HeadTooSlow means that the head was not complete within Limits.HeadTime.
 	HeadTooSlow
+	// Draining means that the listener ends its connections.
+	Draining
 )
 
 // Status returns the HTTP status of the response.
 func (r Rejection) Status() int {
-	if r == HeadTooLarge {
+	switch r {
+	case HeadTooLarge:
 		return http.StatusRequestHeaderFieldsTooLarge
+	case HeadTooSlow:
+		return http.StatusRequestTimeout
+	default:
+		return http.StatusServiceUnavailable
 	}
-	return http.StatusRequestTimeout
 }
 
 // Error implements error.
--- a/internal/fleetnode/limits.go
+++ b/internal/fleetnode/limits.go
@@ -50,9 +50,12 @@
 // refuseHead records that the head of a request is refused, and returns headers of the
 // answer.
 func (i *Instance) refuseHead(r drainconn.Rejection) http.Header {
-	code := result.HeaderTimeout
-	if r == drainconn.HeadTooLarge {
+	code := result.Stopping
+	switch r {
+	case drainconn.HeadTooLarge:
 		code = result.HeadersTooLarge
+	case drainconn.HeadTooSlow:
+		code = result.HeaderTimeout
 	}
 	return i.node.RefuseHead(r.Status(), code)
 }
