fleet, forward: an attempt that waits for its connection at the end of a stop is a refusal

What callers saw: 502 (stop-after-send) for a request of which nothing had been sent, because its attempt still waited for the connection to its target. A caller may not repeat a request that isn't idempotent after that.

Cause: the core counted each attempt that it had ordered as one that may have run; only the rim knew whether it had a connection.

The rim now asks, under the lock of the core and before it writes the first byte, whether the attempt may be written, and reports it (AttemptStarted). At the end of a stop an attempt that hasn't been reported is cancelled and its request refused; since the core has ended it by then, the rim may not write it any more. So the refusal is true in either order. The connection is registered before, so that a cancellation after the report closes it. A cancelled attempt no longer goes on dialling, so its answer comes before the process ends.

The tests of the end of a stop report the connections of their attempts first; what they check is as before.

Not changed: a deadline, or a caller that leaves, still takes an attempt without a connection for one that may have run, which is never untrue, only less than what is known.

--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -6,6 +6,13 @@
 	"github.com/medlardeck/medlardeck/internal/result"
 )
 
+// handleAttemptStarted records that an attempt may have run from now on.
+func (c *Core) handleAttemptStarted(ev AttemptStarted) {
+	if a := c.attempts[ev.Attempt]; a != nil {
+		a.attemptStarted = true
+	}
+}
+
 // handleProgress records that an event of the answer reached the caller. The first
 // event of an attempt shows that the prompt has been prefilled.
 func (c *Core) handleProgress(ev Progress) {
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -118,6 +118,8 @@
 		c.recordConnected(ev.Target)
 	case LeavingStated:
 		c.handleLeavingStated(ev)
+	case AttemptStarted:
+		c.handleAttemptStarted(ev)
 	case Progress:
 		c.handleProgress(ev)
 	case AttemptEnd:
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -116,6 +116,10 @@
 	PerSecond float64
 }
 
+// AttemptStarted reports that an attempt has a connection, and that its request is written
+// from now on. Until then nothing of it has been sent.
+type AttemptStarted struct{ Attempt AttemptID }
+
 // Progress reports that a whole event of the answer was forwarded to the caller.
 type Progress struct {
 	Attempt AttemptID
@@ -326,6 +330,7 @@
 func (StoreRestored) fleetEvent()     {}
 func (Connected) fleetEvent()         {}
 func (RequestArrived) fleetEvent()    {}
+func (AttemptStarted) fleetEvent()    {}
 func (Progress) fleetEvent()          {}
 func (AttemptEnd) fleetEvent()        {}
 func (CallerLeft) fleetEvent()        {}
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -64,7 +64,7 @@
 func (c *Core) sendToPeer(a *activeRequest, name string) {
 	c.lastAttemptID++
 	a.attempt, a.target, a.relayedBy = c.lastAttemptID, nil, name
-	a.attemptDeliveredEvent, a.hasFailureAnswer = false, false
+	a.attemptStarted, a.attemptDeliveredEvent, a.hasFailureAnswer = false, false, false
 	a.relays++
 	a.sentAt = c.now
 	if !a.anyEventDelivered {
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -72,6 +72,7 @@
 	ownDomainOnly         bool         // a cut may separate targets of different domains
 	arrivedAtTarget       bool         // a target rejected the request; see also attemptsRun
 	anyEventDelivered     bool         // an event or more went to the caller
+	attemptStarted        bool         // the current attempt may have been sent, see AttemptStarted
 	attemptDeliveredEvent bool         // the current attempt has sent an event
 	sentAt                time.Duration
 	lastEventAt           time.Duration // of the last event; of the send before the first event
@@ -266,7 +267,7 @@
 func (c *Core) sendAttempt(a *activeRequest, p placement, tickets []string) {
 	c.lastAttemptID++
 	a.attempt, a.target, a.attemptDeliveredEvent, a.hasFailureAnswer = c.lastAttemptID, p.primary, false, false
-	a.survivalRecorded = false
+	a.survivalRecorded, a.attemptStarted = false, false
 	a.sentAt, a.predictedFirstEventMS = c.now, p.uncorrectedFirstEventMS
 	if !a.anyEventDelivered {
 		a.lastEventAt = c.now
--- a/internal/fleet/stop.go
+++ b/internal/fleet/stop.go
@@ -45,7 +45,9 @@
 	for _, a := range open {
 		if a.attempt != 0 {
 			c.emit(Cancel{Attempt: a.attempt})
-			a.attemptsRun++
+			if a.attemptStarted {
+				a.attemptsRun++
+			}
 			c.removeAttemptLoads(a)
 		}
 		switch {
--- a/internal/fleet/stop_test.go
+++ b/internal/fleet/stop_test.go
@@ -40,8 +40,11 @@
 	}
 }
 
-// endStop begins a stop and ends it at once.
+// endStop begins a stop and ends it at once, when all attempts have a connection.
 func (h *harness) endStop() {
+	for _, send := range h.sends {
+		h.step(AttemptStarted{Attempt: send.Attempt})
+	}
 	h.step(Stop{BalancerDelay: time.Second, GracePeriod: 7 * time.Second})
 	h.step(EndStop{})
 }
@@ -69,6 +72,23 @@
 	must.Eq(t, 0, h.sendCount(late))
 }
 
+// Nothing of an attempt has been sent while it waits for its connection: at the end of a stop
+// such a request was answered as one that may have run, so that its caller could not repeat it.
+func TestAttemptWithoutConnectionAtTheEndOfAStopIsRefused(t *testing.T) {
+	h := newHarness(t, 1)
+	once, stream := h.submit(routeNonIdempotent, 0), h.submit(routeShort, 500)
+	retried := h.submit(routeIdempotent, 0)
+	h.step(AttemptStarted{Attempt: h.lastSend(retried).Attempt})
+	h.step(AttemptEnd{Attempt: h.lastSend(retried).Attempt, Outcome: OutcomeBroken})
+	must.Eq(t, 2, h.sendCount(retried))
+	h.step(EndStop{})
+	for _, id := range []RequestID{once, stream} {
+		must.Eq(t, result.Stopping, h.finishes[id].Code)
+		must.SliceContains(t, h.cancels, h.lastSend(id).Attempt)
+	}
+	must.Eq(t, result.StopAfterSend, h.finishes[retried].Code)
+}
+
 // A failure answer that a target gave before the last retry is the caller's answer.
 func TestEndOfTheStopForwardsTheAnswerOfAFailedAttempt(t *testing.T) {
 	h := newHarness(t, 1)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -60,27 +61,28 @@
 	if !x.node.mayStart(send) {
 		return withheld
 	}
-	c, err := x.connect(send)
-	if !x.node.mayStart(send) {
-		if err == nil {
-			_ = c.Close()
-		}
-		return withheld
-	}
+	ctx, cancel := x.dialContext(send.Attempt)
+	defer cancel()
+	c, err := x.connect(ctx, send)
 	if err != nil {
+		if !x.node.mayStart(send) {
+			return withheld
+		}
 		return fleet.AttemptEnd{Outcome: fleet.OutcomeNotConnected, Cause: err.Error()}
 	}
-	if !x.registerConn(send.Attempt, c) {
-		_ = c.Close()
-		return brokenAttempt(errCancelled)
-	}
-	defer x.clearConn()
 	timeLeft := send.Deadline - x.node.clock.now()
 	c.deadline = time.Now().Add(timeLeft + deadlineGrace)
 	if err := c.SetDeadline(c.deadline); err != nil {
 		_ = c.Close()
 		return fleet.AttemptEnd{Outcome: fleet.OutcomeNotConnected, Cause: err.Error()}
 	}
+	// The connection can be closed by a cancellation before anything is written to it.
+	if !x.registerConn(send.Attempt, c) || !x.node.startAttempt(send) {
+		x.clearConn()
+		_ = c.Close()
+		return withheld
+	}
+	defer x.clearConn()
 	written := x.writeRequest(c, send, timeLeft)
 	end, resp := x.readResponse(c, send)
 	end.Limit = x.limit
@@ -90,12 +92,12 @@
 
 // connect returns a connection to the target or peer of an attempt. The decision core
 // learns of a new one to a target.
-func (x *exchange) connect(send fleet.Send) (*conn, error) {
+func (x *exchange) connect(ctx context.Context, send fleet.Send) (*conn, error) {
 	pool := x.node.pool
 	if relay := send.Relay; relay.Address != "" {
-		return pool.get(x.node.ctx, "peer "+relay.Peer+"@"+relay.Address, relay.Address, x.node.opts.LocalIP, send.FreshConnection)
+		return pool.get(ctx, "peer "+relay.Peer+"@"+relay.Address, relay.Address, x.node.opts.LocalIP, send.FreshConnection)
 	}
-	c, err := pool.get(x.node.ctx, send.Target.ID+"@"+send.Target.Address, send.Target.Address, nil, send.FreshConnection)
+	c, err := pool.get(ctx, send.Target.ID+"@"+send.Target.Address, send.Target.Address, nil, send.FreshConnection)
 	if err == nil && !c.reused {
 		c.target = send.Target
 		x.node.Step(fleet.Connected{Target: send.Target.ID})
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"net/http"
 	"strconv"
 	"strings"
@@ -33,7 +34,8 @@
 
 	mu             sync.Mutex
 	currentAttempt fleet.AttemptID
-	conn           *conn           // connection of the current attempt, nil between attempts
+	conn           *conn // connection of the current attempt, nil between attempts
+	cancelDial     context.CancelFunc
 	lastCancelled  fleet.AttemptID // attempts up to this ID are cancelled
 
 	limit       fleet.Limit       // as the answer to the current attempt names it
@@ -66,11 +68,26 @@
 // queueFinish queues the end of the request for runCommands. node.mu must be held.
 func (x *exchange) queueFinish(f fleet.Finish) { x.commands <- f }
 
+// dialContext returns the context in which the connection of an attempt is made.
+func (x *exchange) dialContext(id fleet.AttemptID) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(x.node.ctx)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.cancelDial = cancel
+	if x.lastCancelled >= id {
+		cancel()
+	}
+	return ctx, cancel
+}
+
 // cancelAttempt marks the attempt as cancelled and closes its connection.
 func (x *exchange) cancelAttempt(id fleet.AttemptID) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.lastCancelled = id
+	if x.cancelDial != nil {
+		x.cancelDial()
+	}
 	if x.currentAttempt == id && x.conn != nil {
 		_ = x.conn.Close()
 	}
--- a/internal/forward/leaving.go
+++ b/internal/forward/leaving.go
@@ -32,6 +32,18 @@
 	}
 }
 
+// startAttempt reports whether an attempt may be written now. The decision core takes it
+// for one that may have run from then on.
+func (n *Node) startAttempt(send fleet.Send) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.attempts[send.Attempt] == nil || !n.core.MayStart(send) {
+		return false
+	}
+	n.stepLocked(fleet.AttemptStarted{Attempt: send.Attempt})
+	return true
+}
+
 // mayStart reports whether an attempt of which nothing has been sent yet may still start.
 func (n *Node) mayStart(send fleet.Send) bool {
 	n.mu.Lock()
