fleetnode: the steps of a stop are timed by the clock of the decisions

What callers saw: after a suspension of the machine during a stop, requests could be cut without an answer. The grace time goes on meanwhile, and so do the core's decisions, which use the boot clock; the steps of the stop used a clock that stands still, so the process was killed before it had come to the one that answers all that is open.

Both use the core's clock now (Node.Now). The end of the core's stop ends the reads of bodies too, whose deadlines stand still as well. The time for the last answers counts from that end, so that it is there also when the grace time has passed during the suspension.

--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -75,6 +75,7 @@
 	relays           *requestServer
 	limits           *drainconn.LimitSource // of callers and relays
 	metrics          *telemetry.Metrics
+	now              func() time.Duration // the clock of the decision core
 	auxiliaryServers []*http.Server
 	following        atomic.Bool   // this instance follows the store
 	announcedEra     atomic.Uint64 // of the store that has the address; zero before the first write
@@ -118,6 +119,7 @@
 			}
 		},
 	})
+	i.now = i.node.Now
 	i.mirror = newMirror(opts.Decoder, i.node, opts.Log)
 	i.mirror.onPeerAddress = i.addPeerAddress
 	i.mirror.onList = func() { g.send(fleet.SendGossip{}) }
--- a/internal/fleetnode/stop.go
+++ b/internal/fleetnode/stop.go
@@ -78,26 +78,26 @@
 // unless its answer has begun and lasts too long, or its caller does not take it.
 func (i *Instance) Stop() {
 	i.opts.Log.Info("stopping", "instance", i.opts.Settings.Name)
-	begin := time.Now()
+	begin := i.now()
 	grace := max(0, i.opts.Settings.StopGrace-stopMargin)
 	lag := min(balancerLag, grace/2)
 	i.node.Step(fleet.Stop{BalancerDelay: lag, GracePeriod: grace})
-	time.Sleep(lag)
+	i.waitUntil(begin+lag, func() bool { return false })
 	i.logConnections("idle-connections-closing")
 	// Responses close their connections since the stop began. Callers on those that
 	// are still idle send their next request to another instance.
-	waitUntil(begin.Add(grace-listenerCloseMargin), func() bool {
+	i.waitUntil(begin+grace-listenerCloseMargin, func() bool {
 		i.closeIdle(newConnGrace)
 		return i.node.IdleFor(idlePeriod)
 	})
 	i.closeListeners()
-	waitUntil(begin.Add(grace), func() bool {
+	i.waitUntil(begin+grace, func() bool {
 		i.closeIdle(newConnGrace)
 		return i.connections().Total() == 0 && i.node.IdleFor(0)
 	})
 	// A request may have been read since. From here on it is refused instead of sent.
 	i.node.Step(fleet.EndStop{})
-	waitUntil(begin.Add(grace+finalAnswerTime), func() bool {
+	i.waitUntil(i.now()+finalAnswerTime, func() bool {
 		i.closeIdle(0)
 		return i.connections().Total() == 0
 	})
@@ -106,10 +106,14 @@
 }
 
 // waitUntil returns when done returns true or the time has come. It calls done at least
-// once.
-func waitUntil(end time.Time, done func() bool) {
-	for !done() && time.Now().Before(end) {
-		time.Sleep(idlePollInterval)
+// once. A suspension of the machine counts, since the process is killed in spite of it.
+func (i *Instance) waitUntil(end time.Duration, done func() bool) {
+	for !done() {
+		left := end - i.now()
+		if left <= 0 {
+			return
+		}
+		time.Sleep(min(left, idlePollInterval))
 	}
 }
 
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -45,11 +45,12 @@
 	}
 }
 
-// stop lets the reads fail that last longer than until the given time.
+// stop lets the reads fail that last longer than until the given time. A later call counts
+// if its time is earlier.
 func (b *bodyReads) stop(at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.stopBegun {
+	if b.stopBegun && !at.Before(b.stopAt) {
 		return
 	}
 	b.stopBegun, b.stopAt = true, at
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -146,6 +146,10 @@
 	n.pool.close()
 }
 
+// Now returns the time on the clock of the decision core, which also runs while the machine
+// is suspended.
+func (n *Node) Now() time.Duration { return n.clock.now() }
+
 // Step passes one event to the decision core and executes the effects.
 func (n *Node) Step(ev fleet.Event) {
 	n.mu.Lock()
@@ -160,6 +164,8 @@
 		n.storeUnreachable = !ev.Reachable
 	case fleet.Stop:
 		n.bodies.stop(time.Now().Add(ev.GracePeriod))
+	case fleet.EndStop:
+		n.bodies.stop(time.Now()) // the end may come sooner, after a suspension
 	}
 	for _, eff := range n.core.Step(n.clock.now(), ev) {
 		n.executeEffect(eff)
