fleet: a stream that is sent late in a stop is judged by its longest answer, and what is cut is counted

What callers saw: a stream that a stopping instance had taken before the balancer noticed, or that had waited there, was sent late in the stop if an answer of the usual length fitted the rest of the time, and was cut in the middle if its own was longer.

Cause: the longest answer was looked at when a request arrived late, not when it waited or was sent late; a request without a stated length counted as one without an answer.

Once the balancer's delay is over, arrivals, waits and sends all leave time for the longest answer: the stated number of tokens, or the route's time for a stream of a service without an engine model; the engine's usual length where a request states none. Before that the usual length counts, since callers still come and most answers are shorter than what they allow. Streams that the end of a stop cuts are counted by when they arrived (streams_cut_by_stop).

--- a/internal/fleet/stop.go
+++ b/internal/fleet/stop.go
@@ -10,7 +10,8 @@
 
 // stopState is the state of a planned stop.
 type stopState struct {
-	begun bool
+	begun   bool
+	begunAt time.Duration
 	// A request that arrives after admitAllUntil is admitted only if it is expected to end
 	// by deadline.
 	admitAllUntil, deadline time.Duration
@@ -29,14 +30,15 @@
 	if c.stop.begun {
 		return
 	}
-	c.stop.begun = true
+	c.stop.begun, c.stop.begunAt = true, c.now
 	c.stop.admitAllUntil, c.stop.deadline = c.now+ev.BalancerDelay, c.now+ev.GracePeriod
 }
 
 // endStop ends all requests with the answers that are true of them: the process is about
 // to end, and would close their connections without any.
 func (c *Core) endStop() {
-	c.stop.begun, c.stop.ended = true, true
+	c.beginStop(Stop{})
+	c.stop.ended = true
 	open := make([]*activeRequest, 0, len(c.requests))
 	for _, a := range c.requests {
 		open = append(open, a)
@@ -52,6 +54,7 @@
 		}
 		switch {
 		case a.anyEventDelivered:
+			c.incrementCounter("streams_cut_by_stop", c.stop.arrivalPeriod(a.arrivedAt))
 			c.finishRequest(a, Finish{Code: result.StopRunning})
 		case a.attemptsRun > 0 && !a.hasFailureAnswer:
 			c.finishRequest(a, Finish{Code: result.StopAfterSend})
@@ -61,6 +64,22 @@
 	}
 }
 
+// arrivalPeriod says when in the course of the stop a request arrived that its end cuts.
+func (s *stopState) arrivalPeriod(arrivedAt time.Duration) string {
+	switch {
+	case arrivedAt < s.begunAt:
+		return "arrived-before"
+	case arrivedAt < s.admitAllUntil:
+		return "arrived-in-balancer-delay"
+	default:
+		return "arrived-late"
+	}
+}
+
+// isLate reports whether the load balancer has noticed a stop, so that callers are served
+// elsewhere.
+func (s *stopState) isLate(now time.Duration) bool { return s.begun && now >= s.admitAllUntil }
+
 // IdleFor reports whether no request is in flight and none arrived for minIdle.
 func (c *Core) IdleFor(minIdle time.Duration) bool {
 	return len(c.requests) == 0 && c.now-c.lastArrivalAt >= minIdle
@@ -73,17 +92,12 @@
 	switch {
 	case c.stop.ended:
 		return false
-	case !c.stop.begun || c.now < c.stop.admitAllUntil:
+	case !c.stop.isLate(c.now):
 		return true
 	}
-	// Assume the longest answer that the caller allows: an answer that is cut off by the
-	// stop is lost.
-	neededTime := stopLatencyFactor * a.arrival.Route.TargetLatency
-	switch e := c.engineOf(a); {
-	case e == nil && a.arrival.Route.Kind == KindStream:
-		neededTime = a.deadline - c.now
-	case e != nil:
-		neededTime += fromMS(e.prefillMS(a.arrival.PromptTokens, 1) + float64(a.arrival.MaxAnswerTokens)*e.fullStepMS())
+	neededTime := c.plainAnswerTime(a, stopLatencyFactor)
+	if e := c.engineOf(a); e != nil {
+		neededTime += fromMS(e.prefillMS(a.arrival.PromptTokens, 1) + c.answerTokensInStop(a, e)*e.fullStepMS())
 	}
 	return c.now+neededTime < c.stop.deadline
 }
@@ -95,10 +109,10 @@
 	if !c.stop.begun || a.mayHaveRun() {
 		return true
 	}
-	neededTime := stopLatencyFactor * a.arrival.Route.TargetLatency
+	neededTime := c.plainAnswerTime(a, stopLatencyFactor)
 	if e := c.engineOf(a); e != nil {
 		stepMS := p.primary.predictState(e).stepMS + e.decodeMS(float64(a.arrival.PromptTokens/p.partCount()))
-		neededTime = fromMS(p.firstEventMS + a.expectedAnswerTokens(e)*stepMS)
+		neededTime = fromMS(p.firstEventMS + c.answerTokensInStop(a, e)*stepMS)
 	}
 	return c.now+neededTime < c.stop.deadline
 }
@@ -110,10 +124,10 @@
 	if !c.stop.begun || a.mayHaveRun() {
 		return true
 	}
-	neededTime := a.arrival.Route.TargetLatency
+	neededTime := c.plainAnswerTime(a, 1)
 	if e := c.engineOf(a); e != nil {
 		parts := max(1, len(c.candidateTargets(a)))
-		neededTime += fromMS(e.prefillMS(a.arrival.PromptTokens, parts) + a.expectedAnswerTokens(e)*e.fullStepMS())
+		neededTime += fromMS(e.prefillMS(a.arrival.PromptTokens, parts) + c.answerTokensInStop(a, e)*e.fullStepMS())
 	}
 	return c.now+neededTime < c.stop.deadline
 }
@@ -121,11 +135,25 @@
 // mayHaveRun reports whether an attempt has run at a target or may have.
 func (a *activeRequest) mayHaveRun() bool { return a.attemptsRun > 0 || a.anyEventDelivered }
 
-// expectedAnswerTokens is the usual length of an answer, or the longest that the caller
-// allows if that is less.
-func (a *activeRequest) expectedAnswerTokens(e *Engine) float64 {
-	if e.MeanAnswerTokens <= 0 {
-		return float64(a.arrival.MaxAnswerTokens)
+// plainAnswerTime is the time that a request is assumed to take without what an engine model
+// says: a multiple of the route's target latency. A stream of a service without one may last
+// as long as its route allows, for which there is time elsewhere once a stop is late.
+func (c *Core) plainAnswerTime(a *activeRequest, latencyFactor time.Duration) time.Duration {
+	if c.engineOf(a) == nil && a.arrival.Route.Kind == KindStream && c.stop.isLate(c.now) {
+		return a.deadline - c.now
+	}
+	return latencyFactor * a.arrival.Route.TargetLatency
+}
+
+// answerTokensInStop is the length of an answer for which a stop has to leave time: the
+// usual length, or the longest that the caller allows once the stop is late. An answer that
+// is cut off by the stop is lost.
+func (c *Core) answerTokensInStop(a *activeRequest, e *Engine) float64 {
+	longest := a.arrival.MaxAnswerTokens
+	switch {
+	case longest <= 0, e.MeanAnswerTokens > 0 && e.MeanAnswerTokens < longest && !c.stop.isLate(c.now):
+		return float64(e.MeanAnswerTokens)
+	default:
+		return float64(longest)
 	}
-	return float64(min(a.arrival.MaxAnswerTokens, e.MeanAnswerTokens))
 }
--- a/internal/fleet/stop_length_test.go
+++ b/internal/fleet/stop_length_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -25,3 +26,53 @@
 	must.Eq(t, 0, h.sendCount(stream))
 	must.Eq(t, result.Stopping, h.finishes[stream].Code)
 }
+
+// A stream that waited, or was reserved memory, was sent late in a stop if its usual answer
+// fitted the rest of the time, and cut if its caller's was longer.
+func TestStreamSentLateInAStopIsJudgedByItsLongestAnswer(t *testing.T) {
+	const grace, sentAt = 10 * time.Second, 3 * time.Second
+	usual, longest := testEngine().MeanAnswerTokens, 5000
+	for answer, sent := range map[int]bool{usual: true, longest: false} {
+		h := newHarness(t, 4)
+		id := h.submitWithAnswerLimit(routeLong, 400_000, answer)
+		must.Greater(t, 0, len(h.reserves))
+		h.step(Stop{BalancerDelay: 2500 * time.Millisecond, GracePeriod: grace})
+		h.now += sentAt
+		for _, r := range slices.Clone(h.reserves) {
+			h.step(Reserved{Request: id, Target: r.Target.ID, Granted: true})
+		}
+		must.Eq(t, sent, h.sendCount(id) == 1, must.Sprintf("longest answer of %d tokens: %v", answer, h.finishes[id].Code))
+	}
+}
+
+// While the balancer may not have noticed a stop, streams are judged by their usual answer:
+// most would be refused for an answer that hardly any of them has.
+func TestStreamSentEarlyInAStopIsJudgedByItsUsualAnswer(t *testing.T) {
+	h := newHarness(t, 4)
+	h.step(Stop{BalancerDelay: 2500 * time.Millisecond, GracePeriod: 7 * time.Second})
+	id := h.submitWithAnswerLimit(routeLong, 10_000, 5000)
+	must.Eq(t, 1, h.sendCount(id))
+}
+
+// Streams that the end of a stop cuts are counted by when they arrived.
+func TestStreamsCutByAStopAreCounted(t *testing.T) {
+	h := newHarness(t, 8)
+	deliver := func() {
+		h.step(Progress{Attempt: h.lastSend(h.submit(routeLong, 500)).Attempt, EventID: "1"})
+	}
+	deliver()
+	h.now += 100 * time.Millisecond
+	h.step(Stop{BalancerDelay: 500 * time.Millisecond, GracePeriod: 12 * time.Second})
+	h.now += 200 * time.Millisecond
+	deliver()
+	h.now += 400 * time.Millisecond
+	deliver()
+	deliver()
+	counts := make(map[string]int)
+	for _, eff := range h.core.Step(h.now, EndStop{}) {
+		if count, ok := eff.(Count); ok && count.Counter == "streams_cut_by_stop" {
+			counts[count.Reason]++
+		}
+	}
+	must.Eq(t, map[string]int{"arrived-before": 1, "arrived-in-balancer-delay": 1, "arrived-late": 2}, counts)
+}
