fleet: a peer's version with a smaller limit of heads doesn't end a relayed request

A peer whose version has a smaller limit answers 431; like 413, that says nothing of other versions. The row of the test is new.

--- a/internal/fleet/config_change_test.go
+++ b/internal/fleet/config_change_test.go
@@ -213,7 +213,7 @@
 // all other requests, and must not be avoided for them.
 func TestPeerOfAnotherVersionServesOtherRequests(t *testing.T) {
 	t.Parallel()
-	for _, refusal := range []result.Code{result.UnknownRoute, result.Unauthenticated, result.NoConfiguration, result.BodyTooLarge} {
+	for _, refusal := range []result.Code{result.UnknownRoute, result.Unauthenticated, result.NoConfiguration, result.BodyTooLarge, result.HeadersTooLarge} {
 		h := newChangeHarness(t, 3)
 		h.losePath("app", "front-2", "front-3")
 		id := h.submit(routeIdempotent, 0)
