--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -122,6 +122,8 @@
 		c.handleAttemptStarted(ev)
 	case Progress:
 		c.handleProgress(ev)
+	case CallerBlocked:
+		c.handleCallerBlocked(ev)
 	case AttemptEnd:
 		c.handleAttemptEnd(ev)
 	case CallerLeft:
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -127,6 +127,13 @@
 	Limit   Limit
 }
 
+// CallerBlocked reports that an event of the answer waits for a caller that does not read,
+// or no longer does.
+type CallerBlocked struct {
+	Attempt AttemptID
+	Blocked bool
+}
+
 // AttemptOutcome is the way in which an attempt ended, as far as it is known.
 type AttemptOutcome uint8
 
@@ -194,8 +201,8 @@
 
 // Reserved delivers a target's reply to Reserve.
 type Reserved struct {
-	Request RequestID
-	Target  string
+	Request        RequestID
+	Target, Ticket string
 	// Granted says that the target has reserved the memory.
 	Granted bool
 	Cause   string
@@ -337,6 +344,7 @@
 func (RequestArrived) fleetEvent()    {}
 func (AttemptStarted) fleetEvent()    {}
 func (Progress) fleetEvent()          {}
+func (CallerBlocked) fleetEvent()     {}
 func (AttemptEnd) fleetEvent()        {}
 func (CallerLeft) fleetEvent()        {}
 func (PeerGossip) fleetEvent()        {}
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -63,6 +63,7 @@
 	anyEventDelivered     bool         // an event or more went to the caller
 	attemptStarted        bool         // the current attempt may have been sent, see AttemptStarted
 	attemptDeliveredEvent bool         // the current attempt has sent an event
+	callerBlocked         bool         // an event of the current attempt waits for the caller
 	sentAt                time.Duration
 	lastEventAt           time.Duration // of the last event; of the send before the first event
 	predictedFirstEvent   time.Duration // from sentAt
@@ -259,7 +260,7 @@
 func (c *Core) sendAttempt(a *activeRequest, p placement, tickets []string) {
 	c.lastAttemptID++
 	a.attempt, a.target, a.attemptDeliveredEvent, a.hasFailureAnswer = c.lastAttemptID, p.primary, false, false
-	a.survivalRecorded, a.attemptStarted = false, false
+	a.survivalRecorded, a.attemptStarted, a.callerBlocked = false, false, false
 	a.sentAt, a.predictedFirstEvent, a.predictedFirstEventMS = c.now, fromMS(p.firstEventMS), p.uncorrectedFirstEventMS
 	if !a.anyEventDelivered {
 		a.lastEventAt = c.now
