--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -62,6 +62,7 @@
 	ownDomainOnly         bool         // a cut may separate targets of different domains
 	arrivedAtTarget       bool         // a target rejected the request; see also attemptsRun
 	anyEventDelivered     bool         // an event or more went to the caller
+	attemptStarted        bool         // the current attempt may have been sent, see AttemptStarted
 	attemptDeliveredEvent bool         // the current attempt has sent an event
 	sentAt                time.Duration
 	lastEventAt           time.Duration // of the last event; of the send before the first event
@@ -261,7 +262,7 @@
 func (c *Core) sendAttempt(a *activeRequest, p placement, tickets []string) {
 	c.lastAttemptID++
 	a.attempt, a.target, a.attemptDeliveredEvent, a.hasFailureAnswer = c.lastAttemptID, p.primary, false, false
-	a.survivalRecorded, a.callerBlocked, a.judgedAt = false, false, 0
+	a.survivalRecorded, a.attemptStarted, a.callerBlocked, a.judgedAt = false, false, false, 0
 	a.sentAt, a.predictedFirstEvent, a.predictedFirstEventMS = c.now, fromMS(p.firstEventMS), p.uncorrectedFirstEventMS
 	if !a.anyEventDelivered {
 		a.lastEventAt = c.now
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -91,6 +91,9 @@
 	Metrics        Metrics
 	// LocalIP is the address from which this instance connects to its peers.
 	LocalIP net.IP
+	// OnConfig is called when a configuration comes into force; may be nil. It must not
+	// block.
+	OnConfig func(*fleet.Config)
 	// SendGossip sends a message to the peers; nil for an instance without peers. It
 	// must not block.
 	SendGossip func(fleet.SendGossip)
@@ -143,6 +146,10 @@
 	n.pool.close()
 }
 
+// Now returns the time on the clock of the decision core, which also runs while the machine
+// is suspended.
+func (n *Node) Now() time.Duration { return n.clock.now() }
+
 // Step passes one event to the decision core and executes the effects.
 func (n *Node) Step(ev fleet.Event) {
 	n.mu.Lock()
@@ -157,12 +164,17 @@
 		n.storeUnreachable = !ev.Reachable
 	case fleet.Stop:
 		n.bodies.stop(time.Now().Add(ev.GracePeriod))
+	case fleet.EndStop:
+		n.bodies.stop(time.Now()) // the end may come sooner, after a suspension
 	}
 	for _, eff := range n.core.Step(n.clock.now(), ev) {
 		n.executeEffect(eff)
 	}
 	if _, ok := ev.(fleet.Configure); ok && n.core.Config() != nil {
 		n.configuredOnce.Do(func() { close(n.configured) })
+		if n.opts.OnConfig != nil {
+			n.opts.OnConfig(n.core.Config())
+		}
 	}
 	due, ok := n.core.NextTimer()
 	if ok && (due != n.timerDue) {
