--- a/internal/simulate/caller.go
+++ b/internal/simulate/caller.go
@@ -46,6 +46,7 @@
 	timeToFirstEvent time.Duration // since arrivedAt
 	lastActivityAt   time.Duration
 	longestPause     time.Duration // longest time between two events
+	lateEvents       int           // that came after a pause longer than accepted
 	hasFirstEvent    bool
 	outcome          outcome
 }
@@ -148,6 +149,9 @@
 	now := c.sim.now
 	if c.hasFirstEvent {
 		c.longestPause = max(c.longestPause, now-c.lastActivityAt)
+		if now-c.lastActivityAt > c.kind.MaxEventGap {
+			c.lateEvents++
+		}
 	} else {
 		c.hasFirstEvent, c.timeToFirstEvent = true, now-c.arrivedAt
 	}
--- a/internal/simulate/day.go
+++ b/internal/simulate/day.go
@@ -54,11 +54,27 @@
 	FaultCrash FaultKind = iota
 	// FaultSlow makes the passes of an engine SlowdownFactor times as long.
 	FaultSlow
+	// FaultSilent stops engines for Duration, after which they go on.
+	FaultSilent
 )
 
-// Fault is a fault of one engine, which is drawn at the time At from those running.
+// FaultScope says which engines a fault hits.
+type FaultScope uint8
+
+// Scopes of faults.
+const (
+	// ScopeEngine is one engine, which is drawn from those running.
+	ScopeEngine FaultScope = iota
+	// ScopeDomain is all engines in the failure domain of the one that is drawn.
+	ScopeDomain
+	// ScopeAll is all engines.
+	ScopeAll
+)
+
+// Fault is a fault of engines at the time At.
 type Fault struct {
 	Kind           FaultKind
+	Scope          FaultScope
 	At             time.Duration
 	Duration       time.Duration
 	SlowdownFactor float64
--- a/internal/simulate/engine.go
+++ b/internal/simulate/engine.go
@@ -27,6 +27,7 @@
 	reservations  map[string]int // tokens by ticket
 	passRunning   bool
 	crashed       bool
+	silentUntil   time.Duration // no pass begins or ends before
 }
 
 // sequence is the execution of one attempt on its engine.
@@ -76,6 +77,15 @@
 	return total
 }
 
+// prefilledSum is the number of prompt tokens that have been prefilled for the sequence.
+func (seq *sequence) prefilledSum() int {
+	total := seq.prefilledTokens
+	for _, p := range seq.helperParts {
+		total += p.prefilledTokens
+	}
+	return total
+}
+
 // submit queues an attempt by urgency. It returns false if the engine has crashed, its
 // queue is full or the attempt would never fit into its memory.
 func (g *engine) submit(a *attempt) bool {
@@ -153,7 +163,7 @@
 // startPass admits waiting sequences and starts a pass if the engine is idle and has
 // work.
 func (g *engine) startPass() {
-	if g.passRunning || g.crashed {
+	if g.passRunning || g.crashed || g.sim.now < g.silentUntil {
 		return
 	}
 	g.admitWaiting()
@@ -200,11 +210,13 @@
 		n := min(remaining, p.tokens-p.prefilledTokens)
 		ms += g.prefillMS(n, p.owner.attentionPairsPerToken(p.prefilledTokens, n))
 		p.prefilledTokens, remaining = p.prefilledTokens+n, remaining-n
+		g.sim.prefilledTokens += n
 	}
 	for _, seq := range g.running {
 		n := min(remaining, seq.ownPromptTokens-seq.prefilledTokens)
 		ms += g.prefillMS(n, seq.attentionPairsPerToken(seq.prefilledTokens, n))
 		seq.prefilledTokens, remaining = seq.prefilledTokens+n, remaining-n
+		g.sim.prefilledTokens += n
 	}
 	return ms, remaining < g.params.PrefillChunkTokens
 }
@@ -228,6 +240,10 @@
 // finishPass delivers the results of a pass: an event for each decoding sequence, the
 // parts and prompts whose prefill is complete. Then it starts the next pass.
 func (g *engine) finishPass(decodingSeqs []*sequence) {
+	if g.sim.now < g.silentUntil {
+		g.sim.schedule(g.silentUntil-g.sim.now, func() { g.finishPass(decodingSeqs) })
+		return
+	}
 	g.passRunning = false
 	if g.crashed {
 		return
--- a/internal/simulate/report.go
+++ b/internal/simulate/report.go
@@ -31,6 +31,8 @@
 	Groups            []*Group  // all requests, then by kind, size and failure domain
 	worstWindowShares []float64 // value shares of the worst windows of each day
 	unfinished        int       // calls that had not ended
+	// See Simulation.
+	prefilledTokens, wastedTokens, cancelledAttempts int
 }
 
 // Group sums up the outcomes of a set of requests.
@@ -39,7 +41,8 @@
 	Requests, InTime, Late, Refused, Failed, Abandoned int
 	earnedValue, possibleValue                         float64
 	timeToFirstEvent, longestPause                     *hdrhistogram.Histogram
-	lateFirstEvents, latePauses                        int
+	lateFirstEvents, latePauses, lateEvents            int
+	streamsLost                                        int // of those that had begun
 }
 
 func newGroup(name string) *Group {
@@ -66,6 +69,10 @@
 func (g *Group) addCall(c *call) {
 	value := c.kind.InTimeValue * min(maxSizeFactor, sizeFactorBase+sizeFactorSlope*float64(c.promptTokens)/c.kind.MeanPromptTokens)
 	g.Requests++
+	g.lateEvents += c.lateEvents
+	if c.hasFirstEvent && c.outcome != outcomeComplete {
+		g.streamsLost++
+	}
 	g.possibleValue += value
 	switch c.outcome {
 	case outcomeComplete:
@@ -158,12 +165,15 @@
 	}
 	r.worstWindowShares = append(r.worstWindowShares, o.worstWindowShares...)
 	r.unfinished += o.unfinished
+	r.prefilledTokens, r.wastedTokens = r.prefilledTokens+o.prefilledTokens, r.wastedTokens+o.wastedTokens
+	r.cancelledAttempts += o.cancelledAttempts
 }
 
 func (g *Group) merge(o *Group) {
 	g.Requests, g.InTime, g.Late = g.Requests+o.Requests, g.InTime+o.InTime, g.Late+o.Late
 	g.Refused, g.Failed, g.Abandoned = g.Refused+o.Refused, g.Failed+o.Failed, g.Abandoned+o.Abandoned
 	g.lateFirstEvents, g.latePauses = g.lateFirstEvents+o.lateFirstEvents, g.latePauses+o.latePauses
+	g.lateEvents, g.streamsLost = g.lateEvents+o.lateEvents, g.streamsLost+o.streamsLost
 	g.earnedValue, g.possibleValue = g.earnedValue+o.earnedValue, g.possibleValue+o.possibleValue
 	g.timeToFirstEvent.Merge(o.timeToFirstEvent)
 	g.longestPause.Merge(o.longestPause)
--- a/internal/simulate/simulate.go
+++ b/internal/simulate/simulate.go
@@ -43,6 +43,10 @@
 	engineList []*engine
 	instances  []*instance
 	calls      []*call
+	// prefilledTokens and wastedTokens are the prompt tokens that engines have prefilled, and
+	// those of them for attempts that did not end with an answer.
+	prefilledTokens, wastedTokens int
+	cancelledAttempts             int // by instances while the caller was there
 }
 
 // instance is one entry instance with its requests in progress.
@@ -72,7 +76,9 @@
 func Run(d Deployment, day Day, seed uint64) *Report {
 	s := newSimulation(d, day, seed)
 	s.runDay()
-	return newReport(day, s.calls)
+	r := newReport(day, s.calls)
+	r.prefilledTokens, r.wastedTokens, r.cancelledAttempts = s.prefilledTokens, s.wastedTokens, s.cancelledAttempts
+	return r
 }
 
 func newSimulation(d Deployment, day Day, seed uint64) *Simulation {
@@ -189,6 +195,9 @@
 		in.startAttempt(eff)
 	case fleet.Cancel:
 		if a := in.attempts[eff.Attempt]; a != nil {
+			if !a.ended && a.call.outcome == outcomePending {
+				s.cancelledAttempts++
+			}
 			a.removeFromEngine()
 		}
 	case fleet.Finish:
@@ -199,7 +208,7 @@
 	case fleet.Reserve:
 		g := s.engines[eff.Target.ID]
 		hop := s.networkDelay(in.domain, g.target.FailureDomain)
-		s.schedule(hop, func() {
+		s.schedule(max(hop, g.silentUntil-s.now), func() {
 			ok := g.reserveMemory(eff.Ticket, eff.Tokens)
 			s.schedule(hop, func() {
 				in.handleEvent(fleet.Reserved{Request: eff.Request, Target: eff.Target.ID, Granted: ok})
@@ -261,6 +270,7 @@
 	}
 	a.ended = true
 	if a.sequence != nil {
+		a.instance.sim.wastedTokens += a.sequence.prefilledSum()
 		a.engine.removeSequence(a.sequence)
 	}
 }
@@ -299,13 +309,21 @@
 	})
 }
 
-// injectFault applies a fault to a random running engine.
+// injectFault applies a fault to a random running engine, and to others in its scope.
 func (s *Simulation) injectFault(fault Fault) {
 	running := slices.DeleteFunc(slices.Clone(s.engineList), func(g *engine) bool { return g.crashed })
 	if len(running) == 0 {
 		return
 	}
-	g := running[s.rng.IntN(len(running))]
+	drawn := running[s.rng.IntN(len(running))]
+	for _, g := range running {
+		if g == drawn || fault.Scope == ScopeAll || fault.Scope == ScopeDomain && g.target.FailureDomain == drawn.target.FailureDomain {
+			s.injectEngineFault(g, fault)
+		}
+	}
+}
+
+func (s *Simulation) injectEngineFault(g *engine, fault Fault) {
 	switch fault.Kind {
 	case FaultCrash:
 		g.crash()
@@ -319,5 +337,8 @@
 	case FaultSlow:
 		g.slowdown = fault.SlowdownFactor
 		s.schedule(fault.Duration, func() { g.slowdown = 1 })
+	case FaultSilent:
+		g.silentUntil = s.now + fault.Duration
+		s.schedule(fault.Duration, g.startPass)
 	}
 }
