--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -116,6 +116,10 @@
 	PerSecond float64
 }
 
+// AttemptStarted reports that an attempt has a connection, and that its request is written
+// from now on. Until then nothing of it has been sent.
+type AttemptStarted struct{ Attempt AttemptID }
+
 // Progress reports that a whole event of the answer was forwarded to the caller.
 type Progress struct {
 	Attempt AttemptID
@@ -198,8 +202,8 @@
 
 // Reserved delivers a target's reply to Reserve.
 type Reserved struct {
-	Request RequestID
-	Target  string
+	Request        RequestID
+	Target, Ticket string
 	// Granted says that the target has reserved the memory.
 	Granted bool
 	Cause   string
@@ -339,6 +343,7 @@
 func (StoreRestored) fleetEvent()     {}
 func (Connected) fleetEvent()         {}
 func (RequestArrived) fleetEvent()    {}
+func (AttemptStarted) fleetEvent()    {}
 func (Progress) fleetEvent()          {}
 func (CallerBlocked) fleetEvent()     {}
 func (AttemptEnd) fleetEvent()        {}
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -72,7 +72,7 @@
 func (c *Core) sendToPeer(a *activeRequest, name string) {
 	c.lastAttemptID++
 	a.attempt, a.target, a.relayedBy = c.lastAttemptID, nil, name
-	a.attemptDeliveredEvent, a.hasFailureAnswer = false, false
+	a.attemptStarted, a.attemptDeliveredEvent, a.hasFailureAnswer, a.callerBlocked = false, false, false, false
 	a.relays++
 	a.sentAt = c.now
 	if !a.anyEventDelivered {
@@ -135,7 +135,7 @@
 // one may serve the request.
 func isRefusalOfPeer(code result.Code) bool {
 	switch code {
-	case result.NoTarget, result.TargetsRefused, result.QueueFull, result.Stopping:
+	case result.NoTarget, result.TargetsRefused, result.QueueFull, result.Stopping, result.HeaderTimeout:
 		return true
 	}
 	return code.Family() != result.FamilyRefused
@@ -145,7 +145,7 @@
 // the request. This says nothing of the peer's other requests.
 func isRefusalByVersion(code result.Code) bool {
 	switch code {
-	case result.NoConfiguration, result.UnknownRoute, result.Unauthenticated, result.BodyTooLarge:
+	case result.NoConfiguration, result.UnknownRoute, result.Unauthenticated, result.BodyTooLarge, result.HeadersTooLarge:
 		return true
 	}
 	return false
--- a/internal/fleetnode/stop.go
+++ b/internal/fleetnode/stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"net/netip"
 	"time"
 
 	"github.com/medlardeck/medlardeck/internal/drainconn"
@@ -38,10 +37,11 @@
 	done   chan struct{} // closed when no more connections are accepted
 }
 
-// serveRequests listens at an address and serves it in the background. Connections are
-// accepted from all addresses, or from the allowed ones.
-func (i *Instance) serveRequests(address string, handler http.Handler, allowed func(netip.Addr) bool) (*requestServer, error) {
-	listener, err := drainconn.Listen(address, allowed, i.opts.Log)
+// serveRequests listens at an address and serves it in the background, within the limits of
+// the configuration.
+func (i *Instance) serveRequests(address string, handler http.Handler, opts drainconn.Options) (*requestServer, error) {
+	opts.Limits, opts.OnReject, opts.OnIdleTimeout, opts.Log = i.limits, i.refuseHead, i.countIdleTimeout, i.opts.Log
+	listener, err := drainconn.Listen(address, opts)
 	if err != nil {
 		return nil, err
 	}
@@ -53,10 +53,11 @@
 	return s, nil
 }
 
-// newRequestServer returns a server for the listener's connections.
+// newRequestServer returns a server for the listener's connections, which have limits of
+// their own: the server's are not reached before.
 func newRequestServer(l *drainconn.Listener, handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes + relayHeadBytes,
 		ConnState: l.RecordState,
 	}
 }
@@ -77,26 +78,26 @@
 // unless its answer has begun and lasts too long, or its caller does not take it.
 func (i *Instance) Stop() {
 	i.opts.Log.Info("stopping", "instance", i.opts.Settings.Name)
-	begin := time.Now()
+	begin := i.now()
 	grace := max(0, i.opts.Settings.StopGrace-stopMargin)
 	lag := min(balancerLag, grace/2)
 	i.node.Step(fleet.Stop{BalancerDelay: lag, GracePeriod: grace})
-	time.Sleep(lag)
+	i.waitUntil(begin+lag, func() bool { return false })
 	i.logConnections("idle-connections-closing")
 	// Responses close their connections since the stop began. Callers on those that
 	// are still idle send their next request to another instance.
-	waitUntil(begin.Add(grace-listenerCloseMargin), func() bool {
+	i.waitUntil(begin+grace-listenerCloseMargin, func() bool {
 		i.closeIdle(newConnGrace)
 		return i.node.IdleFor(idlePeriod)
 	})
 	i.closeListeners()
-	waitUntil(begin.Add(grace), func() bool {
+	i.waitUntil(begin+grace, func() bool {
 		i.closeIdle(newConnGrace)
 		return i.connections().Total() == 0 && i.node.IdleFor(0)
 	})
 	// A request may have been read since. From here on it is refused instead of sent.
 	i.node.Step(fleet.EndStop{})
-	waitUntil(begin.Add(grace+finalAnswerTime), func() bool {
+	i.waitUntil(i.now()+finalAnswerTime, func() bool {
 		i.closeIdle(0)
 		return i.connections().Total() == 0
 	})
@@ -105,10 +106,14 @@
 }
 
 // waitUntil returns when done returns true or the time has come. It calls done at least
-// once.
-func waitUntil(end time.Time, done func() bool) {
-	for !done() && time.Now().Before(end) {
-		time.Sleep(idlePollInterval)
+// once. A suspension of the machine counts, since the process is killed in spite of it.
+func (i *Instance) waitUntil(end time.Duration, done func() bool) {
+	for !done() {
+		left := end - i.now()
+		if left <= 0 {
+			return
+		}
+		time.Sleep(min(left, idlePollInterval))
 	}
 }
 
--- a/internal/simulate/simulate.go
+++ b/internal/simulate/simulate.go
@@ -211,7 +211,7 @@
 		s.schedule(max(hop, g.silentUntil-s.now), func() {
 			ok := g.reserveMemory(eff.Ticket, eff.Tokens)
 			s.schedule(hop, func() {
-				in.handleEvent(fleet.Reserved{Request: eff.Request, Target: eff.Target.ID, Granted: ok})
+				in.handleEvent(fleet.Reserved{Request: eff.Request, Target: eff.Target.ID, Ticket: eff.Ticket, Granted: ok})
 			})
 		})
 	case fleet.Release:
