--- a/internal/fleet/stop_length_test.go
+++ b/internal/fleet/stop_length_test.go
@@ -39,7 +39,7 @@
 		h.step(Stop{BalancerDelay: 2500 * time.Millisecond, GracePeriod: grace})
 		h.now += sentAt
 		for _, r := range slices.Clone(h.reserves) {
-			h.step(Reserved{Request: id, Target: r.Target.ID, Granted: true})
+			h.step(Reserved{Request: id, Target: r.Target.ID, Ticket: r.Ticket, Granted: true})
 		}
 		must.Eq(t, sent, h.sendCount(id) == 1, must.Sprintf("longest answer of %d tokens: %v", answer, h.finishes[id].Code))
 	}
