--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -127,12 +127,13 @@
 	Limit   Limit
 }
 
-// CallerBlocked reports that an event of the answer waits for a caller that does not read,
-// or no longer does.
-type CallerBlocked struct {
-	Attempt AttemptID
-	Blocked bool
-}
+// CallerBlockedDelay is how long an event of the answer waits for its caller until that is
+// reported.
+const CallerBlockedDelay = 200 * time.Millisecond
+
+// CallerBlocked reports that an event of the answer has waited for CallerBlockedDelay to be
+// written to its caller.
+type CallerBlocked struct{ Attempt AttemptID }
 
 // AttemptOutcome is the way in which an attempt ended, as far as it is known.
 type AttemptOutcome uint8
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -54,6 +54,7 @@
 	loads                 []placedLoad // loads of the current attempt
 	attemptsRun           int          // attempts that ran or may have
 	attemptsNotRun        int          // attempts that did not run
+	heldRetries           int          // of the retry budget, see Core.holdRetries
 	withheld              int          // attempts that were not written, see MayStart
 	triedTargets          []string     // ids of targets that failed or did not run the request
 	waited                bool         // has waited for room at the targets
@@ -63,10 +64,11 @@
 	anyEventDelivered     bool         // an event or more went to the caller
 	attemptStarted        bool         // the current attempt may have been sent, see AttemptStarted
 	attemptDeliveredEvent bool         // the current attempt has sent an event
-	callerBlocked         bool         // an event of the current attempt waits for the caller
 	sentAt                time.Duration
 	lastEventAt           time.Duration // of the last event; of the send before the first event
 	predictedFirstEvent   time.Duration // from sentAt
+	callerBlocked         bool          // an event of the current attempt waits for the caller
+	judgedAt              time.Duration // see settleWait; zero while the attempt is not silent
 	predictedFirstEventMS float64       // the same by the engine model alone
 	timeToFirstEvent      time.Duration // from arrival to the first event
 	longestPause          time.Duration
@@ -260,12 +262,13 @@
 func (c *Core) sendAttempt(a *activeRequest, p placement, tickets []string) {
 	c.lastAttemptID++
 	a.attempt, a.target, a.attemptDeliveredEvent, a.hasFailureAnswer = c.lastAttemptID, p.primary, false, false
-	a.survivalRecorded, a.attemptStarted, a.callerBlocked = false, false, false
+	a.survivalRecorded, a.attemptStarted, a.callerBlocked, a.judgedAt = false, false, false, 0
 	a.sentAt, a.predictedFirstEvent, a.predictedFirstEventMS = c.now, fromMS(p.firstEventMS), p.uncorrectedFirstEventMS
 	if !a.anyEventDelivered {
 		a.lastEventAt = c.now
 	}
 	c.attempts[a.attempt] = a
+	c.startPulse()
 	helpers := make([]Helper, len(p.helpers))
 	for i, h := range p.helpers {
 		helpers[i] = Helper{Target: h.ID, Address: h.Address}
@@ -365,7 +368,7 @@
 		c.refuseOrFail(a, result.TargetsRefused, c.retryAfterQuiet(a, minRetryAfter))
 	case c.isBlocked(a):
 		c.refuseOrFail(a, result.Quarantined, quarantineRetryAfter)
-	case (a.arrivedAtTarget || a.attemptsRun > 0) && !c.takeRetry(a.service):
+	case (a.arrivedAtTarget || a.attemptsRun > 0) && !c.takeRequestRetry(a):
 		c.refuseOrFail(a, result.RetryBudget, c.retryAfterQuiet(a, minRetryAfter))
 	default:
 		c.incrementCounter("retries", reason)
@@ -400,6 +403,7 @@
 		c.relayedCount--
 	}
 	c.releaseTickets(a)
+	c.holdRetries(a, 0)
 	f.Request = a.arrival.Request
 	c.log("request-ended", "request", a.arrival.ID, "route", a.arrival.Route.Name, "code", int(f.Code),
 		"result", f.Code.String(), "ran", a.attemptsRun, "unsent", a.attemptsNotRun, "after_ms", int(toMS(c.now-a.arrivedAt)),
