forward: a head that a peer refuses has not run

What callers saw: 502 for requests that an instance without a path to its targets had sent to a peer which refuses their heads: too large by its version, too slow, or while it stops.

Cause: such an answer has no request ID, since the peer has not read it, and was dropped as that of another request; the connection counted as broken, with all attempts used.

A peer's unsigned answer with a result code is taken for that of the one request on its connection now.

Evidence: TestHeadRefusedByAPeerIsNotRun failed before: 502 in place of 503, twice.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -224,7 +224,7 @@
 		if resp.StatusCode/100 == 1 {
 			continue
 		}
-		if metadata.RequestID == x.metadata.ID || metadata.RequestID == "" && metadata.NotRun {
+		if metadata.RequestID == x.metadata.ID || metadata.RequestID == "" && (metadata.NotRun || isRefusedHead(c, resp, metadata)) {
 			return resp, metadata, nil
 		}
 		x.node.opts.Metrics.Add("answers_dropped", "foreign")
@@ -237,6 +237,11 @@
 	return nil, ResponseMetadata{}, errRequestMismatch
 }
 
+// isRefusedHead reports whether a peer has refused a request before it knew the request's ID.
+func isRefusedHead(c *conn, resp *http.Response, metadata ResponseMetadata) bool {
+	return c.target.ID == "" && !metadata.Signed && resp.Header.Get(headerCode) != ""
+}
+
 // discardBody reads a short body to its end. It fails if the body is long or does not end
 // soon; the connection can't be used again then.
 func discardBody(c *conn, resp *http.Response) error {
