fleet: searches for replacements leave time for other work with many targets

A review measured 150 silent long prompts at 900 targets: four searches of 9 ms each 5 ms, seven times the time that there is (trial in the core, machine under load). The time between searches grows with the targets now; at 60 and fewer it is 5 to 10 ms as before.

The second check of a blocked caller, left by a merge, is gone. TestManySilentAttemptsDoNot- HoldTheInstanceUp passes; the trial at 900 targets was not repeated.

--- a/internal/fleet/silence.go
+++ b/internal/fleet/silence.go
@@ -42,6 +42,9 @@
 	// silenceSearchDelay later.
 	maxReplacementSearches = 4
 	silenceSearchDelay     = 5 * time.Millisecond
+	// searchDelayTargets is the number of targets of a service that add another
+	// silenceSearchDelay.
+	searchDelayTargets = 60
 )
 
 // callerLeavesAt is the time at which the caller disconnects unless the next event
@@ -137,9 +140,6 @@
 // dead, or if its caller would otherwise leave. An attempt that nothing is sure to replace
 // goes on: its target may still answer. It returns the time after which to look again.
 func (c *Core) replaceIfSilent(a *activeRequest) time.Duration {
-	if a.callerBlocked {
-		return silenceCheckInterval
-	}
 	if overdueAt := c.overdueAt(a); c.now < overdueAt {
 		return overdueAt - c.now
 	}
@@ -154,7 +154,7 @@
 		return silenceCheckInterval
 	}
 	if c.replacementSearches >= maxReplacementSearches {
-		return silenceSearchDelay
+		return c.searchDelay(a.service)
 	}
 	c.replacementSearches++
 	r, ok := c.findReplacement(a)
@@ -168,6 +168,12 @@
 	return 0
 }
 
+// searchDelay is the time until the next Step that may search: a search takes as long as there
+// are targets.
+func (c *Core) searchDelay(service string) time.Duration {
+	return silenceSearchDelay * time.Duration(1+len(c.serviceTargets(service))/searchDelayTargets)
+}
+
 // earliestReplacement is the time before which a replacement is not worth looking for, by
 // the prediction for the current attempt.
 func (c *Core) earliestReplacement(a *activeRequest) time.Duration {
