--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -110,14 +110,7 @@
 	case OutcomeNotRun, OutcomeMisdirected:
 		c.handleNotRun(a, ev)
 	case OutcomeBroken:
-		c.recordTargetFailure(a, true)
-		c.recordPathFailure(&target.Target, false)
-		wait := c.checkBrokenRun(a)
-		c.removeAttemptLoads(a)
-		a.attemptsRun++
-		if !wait {
-			c.retryOrFail(a, "broken")
-		}
+		c.handleBroken(a)
 	case OutcomeWithheld:
 		c.placeWithheld(a)
 	case OutcomeCallerGone:
@@ -150,6 +143,19 @@
 	c.incrementCounter("attempts_ended", ev.Outcome.String())
 }
 
+// handleBroken retries the request after its connection has failed, once it is known whether
+// its target has ended.
+func (c *Core) handleBroken(a *activeRequest) {
+	c.recordTargetFailure(a, true)
+	c.recordPathFailure(&a.target.Target, false)
+	wait := c.checkBrokenRun(a)
+	c.removeAttemptLoads(a)
+	a.attemptsRun++
+	if !wait {
+		c.retryOrFail(a, "broken")
+	}
+}
+
 // handleNotConnected retries the request after no connection to its target was made.
 func (c *Core) handleNotConnected(a *activeRequest) {
 	target := a.target
