--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -88,9 +88,7 @@
 		c.recordLimit(a, ev.Limit)
 	}
 	c.logAttemptEnd(a)
-	if ev.Outcome.isAnswer() {
-		c.recordHeardHere(target)
-	}
+	c.recordAnswerHeard(target, ev.Outcome)
 	switch ev.Outcome {
 	case OutcomeComplete:
 		c.recordSuccess(target)
--- a/internal/fleet/silence.go
+++ b/internal/fleet/silence.go
@@ -328,6 +328,13 @@
 	c.recordHeard(target)
 }
 
+// recordAnswerHeard records that a target was heard if an attempt there ended with an answer.
+func (c *Core) recordAnswerHeard(target *targetState, outcome AttemptOutcome) {
+	if outcome.isAnswer() {
+		c.recordHeardHere(target)
+	}
+}
+
 // handleCallerBlocked records that an attempt waits for its caller, not for its target. A
 // report that is older than the last event is dropped.
 func (c *Core) handleCallerBlocked(ev CallerBlocked) {
