fleetnode: the tests of older builds wait for statements that were queued before

TestBuildWithoutNewsReadsAllStatements failed once beside load ("{t-3}, got nil"). A statement that had been queued before the instance knew that t-3 leaves was sent to a peer that joined meanwhile; the next one, a second later at most, is right.

Its checks are the same.

--- a/internal/fleetnode/old_builds_test.go
+++ b/internal/fleetnode/old_builds_test.go
@@ -1,6 +1,7 @@
 package fleetnode
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -307,11 +308,21 @@
 	}
 }
 
-// tellVerdict makes an instance know news, which it repeats in all its statements.
+// tellVerdict makes an instance know news and that t-3 leaves, which it repeats in all its
+// statements. When it returns, no statement of before waits to be sent.
 func (f *oldBuildsTest) tellVerdict() {
 	f.t.Helper()
-	f.newPeer("127.0.3.3").send(recordedMessage(f.t, "26e3ce8-news.cbor"))
+	p := f.newPeer("127.0.3.3")
+	p.send(recordedMessage(f.t, "26e3ce8-news.cbor"))
 	f.waitForLine(`"fingerprint-blocked"`)
+	must.NoError(f.t, p.conn.SetReadDeadline(time.Now().Add(3*time.Second)))
+	for buf := make([]byte, maxDatagramBytes); ; {
+		n, _, err := p.conn.ReadFromUDPAddrPort(buf)
+		must.NoError(f.t, err)
+		if bytes.Contains(buf[:n], []byte("t-3")) {
+			return
+		}
+	}
 }
 
 // A build that reads fingerprints where later ones send news would drop every statement
