forward: a long late response does not break the request after it

What callers saw: a stream was cut with resume-failed, or a request needed another attempt, after a target had sent a second copy of a long answer on a kept connection.

Cause: a late response was discarded up to 64 KiB; beyond that the connection was closed, and the request that had been sent there counted as run.

A late response may be as long as any now; the time for it stays 0.1 s, and so does the bound of other bodies that are discarded.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -23,7 +23,7 @@
 	// the interim and late ones before it.
 	maxResponseHeadBytes = 64 << 10
 	// maxDiscardedBytes and discardTimeout bound a body that is read only to use its
-	// connection again.
+	// connection again. A late response before the awaited one may be as long as any.
 	maxDiscardedBytes = 64 << 10
 	discardTimeout    = 100 * time.Millisecond
 	// maxEventBytes bounds one event of an event stream.
@@ -187,7 +187,7 @@
 		return fleet.AttemptEnd{Outcome: fleet.OutcomeMisdirected, Status: resp.StatusCode, FailedAddress: metadata.FailedAddress}, resp
 	case metadata.NotRun:
 		// A failure to read the body only rules out reuse of the connection.
-		resp.Close = resp.Close || discardBody(c, resp) != nil
+		resp.Close = resp.Close || discardBody(c, resp, maxDiscardedBytes) != nil
 		return fleet.AttemptEnd{Outcome: fleet.OutcomeNotRun, Status: resp.StatusCode, FailedAddress: metadata.FailedAddress}, resp
 	case resp.Header.Get("Content-Encoding") != "":
 		return brokenAttempt(errEncodedResponse), resp
@@ -197,7 +197,7 @@
 		return x.relayStream(send, resp), resp
 	case x.headWritten:
 		// The caller has the head of a stream, which no other answer can go on with.
-		resp.Close = resp.Close || discardBody(c, resp) != nil
+		resp.Close = resp.Close || discardBody(c, resp, maxDiscardedBytes) != nil
 		return fleet.AttemptEnd{Outcome: fleet.OutcomeFailed, Status: resp.StatusCode, Cause: errNoStream.Error(), FailedAddress: metadata.FailedAddress}, resp
 	}
 	return x.bufferResponse(resp, metadata), resp
@@ -229,7 +229,7 @@
 		}
 		x.node.opts.Metrics.Add("answers_dropped", "foreign")
 		c.limiter.limited = false
-		if err := discardBody(c, resp); err != nil {
+		if err := discardBody(c, resp, maxResponseBytes); err != nil {
 			return nil, ResponseMetadata{}, fmt.Errorf("%w: %w", errRequestMismatch, err)
 		}
 		c.limiter.limited = true
@@ -242,14 +242,14 @@
 	return c.target.ID == "" && !metadata.Signed && resp.Header.Get(headerCode) != ""
 }
 
-// discardBody reads a short body to its end. It fails if the body is long or does not end
-// soon; the connection can't be used again then.
-func discardBody(c *conn, resp *http.Response) error {
+// discardBody reads a body to its end. It fails if the body has maxBytes or more or does not
+// end soon; the connection can't be used again then.
+func discardBody(c *conn, resp *http.Response, maxBytes int64) error {
 	if err := c.SetReadDeadline(time.Now().Add(discardTimeout)); err != nil {
 		return err
 	}
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardedBytes))
-	if err == nil && n == maxDiscardedBytes {
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBytes))
+	if err == nil && n == maxBytes {
 		err = errResponseTooLarge
 	}
 	return errors.Join(err, c.SetReadDeadline(c.deadline))
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -51,7 +51,7 @@
 // readPeerError returns the end of an attempt that a peer has answered in place of a
 // target. Only a gateway error leaves open whether the request ran.
 func readPeerError(c *conn, resp *http.Response) fleet.AttemptEnd {
-	resp.Close = resp.Close || discardBody(c, resp) != nil
+	resp.Close = resp.Close || discardBody(c, resp, maxDiscardedBytes) != nil
 	if resp.StatusCode == http.StatusBadGateway || resp.StatusCode == http.StatusGatewayTimeout {
 		return fleet.AttemptEnd{Outcome: fleet.OutcomeFailed, Status: resp.StatusCode, Cause: errPeerFailed.Error()}
 	}
