--- a/internal/fleet/reserve.go
+++ b/internal/fleet/reserve.go
@@ -61,9 +61,9 @@
 	c.afterFunc(time.Duration(ticketRenewalShare*float64(c.opts.ReservationTTL)), func() { c.sendReservations(a, res) })
 }
 
-// handleReserved records a helper's reply, which may be one to a renewal. After the last reply it sends the
-// request, or, if any helper denied the memory or a target leaves, releases the others'
-// reservations and places the request again.
+// handleReserved records a helper's reply, perhaps one to a renewal. After the last reply it
+// sends the request, or, if any helper denied the memory or a target leaves, releases the
+// others' reservations and places the request again.
 func (c *Core) handleReserved(ev Reserved) {
 	a := c.requests[ev.Request]
 	if a == nil || a.reservation == nil || a.reservation.granted || !slices.Contains(a.reservation.tickets, ev.Ticket) {
