Review: answers 421 by version of weights end a service

32 requests that expect another version of the weights make all fronts take all model runners for gone.

--- a/review/drill/caller.go
+++ b/review/drill/caller.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -20,6 +21,12 @@
 	extra        http.Header
 }
 
+// kind is the first part of the path.
+func (c *call) kind() string {
+	kind, _, _ := strings.Cut(strings.TrimPrefix(c.path, "/"), "/")
+	return kind
+}
+
 // outcome is how a call ended at its caller.
 type outcome struct {
 	status int // zero without an answer
--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -23,6 +23,7 @@
 var drills = map[string]func(*world) (bool, error){
 	"tickets":  ticketsAfterRestart,
 	"versions": callersOfAnotherVersion,
+	"entries":  entriesOfAnotherWriter,
 }
 
 // world is a small deployment.
--- a/review/drill/runner.go
+++ b/review/drill/runner.go
@@ -136,8 +136,7 @@
 // ServeHTTP answers one request to the runner.
 func (r *runner) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	if expected := q.Header.Get(names["expectRunner"]); expected != "" && expected != r.ID {
-		w.Header().Set(names["runnerID"], r.ID)
-		w.WriteHeader(http.StatusMisdirectedRequest)
+		r.rejectRun(w, q, http.StatusMisdirectedRequest, r.Address)
 		return
 	}
 	switch q.URL.Path {
@@ -235,7 +234,9 @@
 	id := q.Header.Get(names["requestID"])
 	r.pool.rec.add("rejected  %s by %s: status %d", id, r.ID, status)
 	w.Header().Set(names["requestID"], id)
-	w.Header().Set(names["notRun"], "1")
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set(names["notRun"], "1")
+	}
 	w.Header().Set(names["runnerID"], r.ID)
 	w.Header().Set(names["atRunner"], atFault)
 	w.WriteHeader(status)
@@ -362,8 +363,7 @@
 	}
 	prompt, most := 0, 0
 	if _, err := fmt.Sscanf(q.Header.Get(names["tokens"]), "%d,%d", &prompt, &most); err != nil {
-		r.rejectRun(w, q, http.StatusBadRequest, r.Address)
-		return
+		panic(http.ErrAbortHandler) // the callers here send it
 	}
 	held, parts, lacking := r.findTickets(q)
 	if lacking != "" {
