--- a/review/drill/starved.go
+++ b/review/drill/starved.go
@@ -41,8 +41,8 @@
 // shares counts requests and those that got a whole answer of a runner, by kind.
 type shares struct{ sent, served map[string]int }
 
-// sendAll sends calls at intervals, by turns to all instances.
-func (w *world) sendAll(calls []call, interval time.Duration) shares {
+// sendAll sends calls at intervals of trafficInterval, by turns to all instances.
+func (w *world) sendAll(calls []call) shares {
 	s := shares{make(map[string]int), make(map[string]int)}
 	var all sync.WaitGroup
 	var mu sync.Mutex
@@ -61,7 +61,7 @@
 				}
 			}
 		}()
-		time.Sleep(interval)
+		time.Sleep(trafficInterval)
 	}
 	all.Wait()
 	return s
@@ -99,14 +99,14 @@
 // trouble that should not concern it.
 func (w *world) starvedBy(kind string, trouble func()) (broken bool, err error) {
 	time.Sleep(2 * time.Second) // instances find each other
-	before := w.sendAll(traffic("b1", callsBefore), trafficInterval)
+	before := w.sendAll(traffic("b1", callsBefore))
 	w.rec.add("before    %s", before.String())
 	if before.share("") < 0.9 {
 		return false, errors.New("few requests are served without trouble")
 	}
 	trouble()
 	time.Sleep(pauseAfterTrouble)
-	after := w.sendAll(traffic("b3", callsAfter), trafficInterval)
+	after := w.sendAll(traffic("b3", callsAfter))
 	w.rec.add("after     %s", after.String())
 	return after.starves(kind), nil
 }
@@ -122,14 +122,14 @@
 				calls[i].extra = map[string][]string{names["expectVersion"]: {"2"}}
 			}
 		}
-		w.sendAll(calls, trafficInterval)
+		w.sendAll(calls)
 	})
 }
 
 // entriesOfAnotherWriter lets another writer register the addresses of the runners of the
 // plain service under a service that the platform does not name.
 func entriesOfAnotherWriter(w *world) (broken bool, err error) {
-	return w.starvedBy(kindBooking, func() {
+	broken, err = w.starvedBy(kindBooking, func() {
 		if !w.trouble {
 			return
 		}
@@ -142,4 +142,18 @@
 			w.store.put(names["keyRunners"]+"agent-"+r.ID, []byte(foreign))
 		}
 	})
+	if err != nil {
+		return false, err
+	}
+	// For the record only: whether a restart of all instances helps.
+	for _, f := range w.fronts {
+		f.kill()
+	}
+	if err := w.startFronts(); err != nil {
+		return false, err
+	}
+	time.Sleep(pauseAfterTrouble)
+	restarted := w.sendAll(traffic("b4", callsBefore))
+	w.rec.add("restarted %s", restarted.String())
+	return broken, nil
 }
