Review: the lost service is judged by RECOVER as well

The scripts of the cases 2 and 3 now end with a final fault, with and without the trouble, and use the mix of requests of the site.

--- a/review/drill/starved.go
+++ b/review/drill/recover.go
@@ -28,12 +28,16 @@
 	return c
 }
 
-// traffic returns requests of all kinds, half of them quotes.
+// traffic returns requests of all kinds: six of seven are quotes, as most are at the site.
 func traffic(prefix string, count int) []call {
-	kinds := []string{kindQuote, kindBooking, kindQuote, kindStock}
+	kinds := []string{kindQuote, kindQuote, kindQuote, kindBooking, kindQuote, kindQuote, kindQuote}
 	calls := make([]call, count)
 	for i := range calls {
-		calls[i] = newCall(kinds[i%len(kinds)], fmt.Sprintf("%s%06x", prefix, i))
+		kind := kinds[i%len(kinds)]
+		if kind == kindBooking && i/len(kinds)%2 == 1 {
+			kind = kindStock
+		}
+		calls[i] = newCall(kind, fmt.Sprintf("%s%06x", prefix, i))
 	}
 	return calls
 }
@@ -50,8 +54,7 @@
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			// Each kind reaches each instance.
-			o := calls[i].send(context.Background(), w.fronts[i/4%len(w.fronts)].address(), w.rec)
+			o := calls[i].send(context.Background(), w.fronts[i%len(w.fronts)].address(), w.rec)
 			mu.Lock()
 			defer mu.Unlock()
 			for _, kind := range []string{calls[i].kind(), ""} {
@@ -87,54 +90,80 @@
 
 // Figures of the drills.
 const (
-	trafficInterval = 50 * time.Millisecond
-	callsBefore     = 40
-	callsAfter      = 240
-	// pauseAfterTrouble is longer than the window in which the store and the machines
-	// count as out of touch.
-	pauseAfterTrouble = 4 * time.Second
+	trafficInterval = 30 * time.Millisecond
+	callsBefore     = 112
+	callsAfter      = 140
+	// pauseAfterTrouble is longer than the window in which machines count as out of touch.
+	pauseAfterTrouble = 6 * time.Second
+	// recoveryTime is the time after which requests have to be served again.
+	recoveryTime = 12 * time.Second
+	// minShare is the share of requests that has to be served.
+	minShare = 0.25
 )
 
-// starvedBy reports whether a kind of request is served far less than others after some
-// trouble that should not concern it.
-func (w *world) starvedBy(kind string, trouble func()) (broken bool, err error) {
+// recoversBeside reports whether requests are served after a final fault, which kills all
+// processes, beside some trouble that should not concern them. It also records whether the
+// quotes starve before that fault.
+func (w *world) recoversBeside(trouble func(context.Context)) (broken bool, err error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
 	time.Sleep(2 * time.Second) // instances find each other
 	before := w.sendAll(traffic("b1", callsBefore))
 	w.rec.add("before    %s", before.String())
 	if before.share("") < 0.9 {
 		return false, errors.New("few requests are served without trouble")
 	}
-	trouble()
+	if w.trouble {
+		trouble(ctx)
+	}
 	time.Sleep(pauseAfterTrouble)
-	after := w.sendAll(traffic("b3", callsAfter))
+	steady := w.sendAll(traffic("b3", callsAfter))
+	w.rec.add("steady    %s", steady.String())
+	if steady.starves(kindQuote) {
+		w.rec.add("steady    the quotes starve")
+	}
+	w.rec.add("fault     all processes are killed")
+	for _, f := range w.fronts {
+		f.kill()
+	}
+	if err := w.startFronts(); err != nil {
+		return false, err
+	}
+	w.rec.add("fault     all processes are back")
+	time.Sleep(recoveryTime)
+	after := w.sendAll(traffic("b4", callsAfter))
 	w.rec.add("after     %s", after.String())
-	return after.starves(kind), nil
+	servedBefore := float64(before.served[""]+steady.served[""]) / float64(before.sent[""]+steady.sent[""])
+	w.rec.add("served before the fault %.2f, after it %.2f", servedBefore, after.share(""))
+	return servedBefore >= minShare && after.share("") < minShare, nil
 }
 
-// callersOfAnotherVersion sends requests that expect a version of the weights that no runner
-// has, and judges how requests without such a wish are served afterwards.
+// Callers that are pinned to a version: one request a second at each instance, about one in
+// ten of all.
+const pinnedInterval = 250 * time.Millisecond
+
+// callersOfAnotherVersion sends some requests that expect a version of the weights that no
+// runner has.
 func callersOfAnotherVersion(w *world) (broken bool, err error) {
-	return w.starvedBy(kindQuote, func() {
-		calls := make([]call, 32)
-		for i := range calls {
-			calls[i] = newCall(kindQuote, fmt.Sprintf("b2%06x", i))
-			if w.trouble {
-				calls[i].extra = map[string][]string{names["expectVersion"]: {"2"}}
+	return w.recoversBeside(func(ctx context.Context) {
+		w.rec.add("trouble   callers expect another version of the weights")
+		go func() {
+			for i := 0; ctx.Err() == nil; i++ {
+				c := newCall(kindQuote, fmt.Sprintf("b2%06x", i))
+				c.extra = map[string][]string{names["expectVersion"]: {"2"}}
+				go c.send(ctx, w.fronts[i%len(w.fronts)].address(), w.rec)
+				time.Sleep(pinnedInterval)
 			}
-		}
-		w.sendAll(calls)
+		}()
 	})
 }
 
-// entriesOfAnotherWriter lets another writer register the addresses of the runners of the
-// plain service under a service that the platform does not name.
+// entriesOfAnotherWriter lets another writer register the addresses of the model runners
+// under a service that the platform does not name.
 func entriesOfAnotherWriter(w *world) (broken bool, err error) {
-	broken, err = w.starvedBy(kindBooking, func() {
-		if !w.trouble {
-			return
-		}
+	return w.recoversBeside(func(context.Context) {
 		for _, r := range w.pool.all {
-			if r.Service != "atelier" {
+			if r.Service != "pool" {
 				continue
 			}
 			foreign := fmt.Sprintf(`{"service":"metrics-agent","addr":%q,"state":"ready","born":%d}`, r.Address, time.Now().UnixMilli())
@@ -142,18 +171,4 @@
 			w.store.put(names["keyRunners"]+"agent-"+r.ID, []byte(foreign))
 		}
 	})
-	if err != nil {
-		return false, err
-	}
-	// For the record only: whether a restart of all instances helps.
-	for _, f := range w.fronts {
-		f.kill()
-	}
-	if err := w.startFronts(); err != nil {
-		return false, err
-	}
-	time.Sleep(pauseAfterTrouble)
-	restarted := w.sendAll(traffic("b4", callsBefore))
-	w.rec.add("restarted %s", restarted.String())
-	return broken, nil
 }
