--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -12,7 +12,10 @@
 // Options configure the Core of one entry instance.
 type Options struct {
 	// Name is unique among instances.
-	Name          string
+	Name string
+	// Incarnation tells the processes apart that have or had the same Name. Whatever
+	// others remember by a name is named by it, too.
+	Incarnation   uint64
 	FailureDomain string
 	// Policy selects how targets are chosen; empty means PolicyValue.
 	Policy Policy
@@ -46,7 +49,7 @@
 	requests      map[RequestID]*activeRequest
 	attempts      map[AttemptID]*activeRequest
 	lastAttemptID AttemptID
-	lastKey       uint64         // numbers loads and reservation tickets
+	lastKey       uint64         // numbers loads and reservation tickets of this process
 	roundRobin    map[string]int // position of PolicyRoundRobin, by service
 
 	peers                map[string]*peer
--- a/internal/fleet/harness_test.go
+++ b/internal/fleet/harness_test.go
@@ -33,10 +33,16 @@
 }
 
 func newHarness(t *testing.T, targets int) *harness {
+	t.Helper()
+	return newHarnessOf(t, "front-1", 1, targets)
+}
+
+// newHarnessOf returns a harness of one process of an instance.
+func newHarnessOf(t *testing.T, name string, incarnation uint64, targets int) *harness {
 	t.Helper()
 	h := &harness{t: t, finishes: make(map[RequestID]Finish), logCounts: make(map[string]int)}
 	h.core = New(Options{
-		Name: "front-1", FailureDomain: "a", RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
+		Name: name, Incarnation: incarnation, FailureDomain: "a", RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
 		ReservationTTL: 3 * time.Second, Seed: 7,
 	})
 	h.config = &Config{Version: 1, Services: map[string]*Service{
--- a/internal/fleet/reserve.go
+++ b/internal/fleet/reserve.go
@@ -35,13 +35,20 @@
 	res := &reservation{placement: p, replied: make(map[string]bool, len(p.helpers))}
 	a.reservation = res
 	for range p.helpers {
-		c.lastKey++
-		res.tickets = append(res.tickets, c.opts.Name+"-"+strconv.FormatUint(c.lastKey, 36))
+		res.tickets = append(res.tickets, c.newTicket())
 	}
 	c.log("reserve", "request", a.arrival.ID, "targets", len(p.helpers), "prompt", a.arrival.PromptTokens)
 	c.sendReservations(a, res)
 }
 
+// newTicket returns a name for a reservation that no other process has used or will use, also
+// none that has had the name of this instance: a target takes a name that it knows for a
+// renewal.
+func (c *Core) newTicket() string {
+	c.lastKey++
+	return c.opts.Name + "-" + strconv.FormatUint(c.opts.Incarnation, 36) + "-" + strconv.FormatUint(c.lastKey, 36)
+}
+
 // ticketTokens is the memory in tokens that is reserved at each helper.
 func (c *Core) ticketTokens(a *activeRequest, res *reservation) int {
 	return a.memoryTokens()/res.placement.partCount() + 1
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -93,6 +93,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("start instance %q: %w", s.Name, err)
 	}
+	incarnation := newIncarnation()
 	g, err := listenGossip(s, metrics, opts.Log)
 	if err != nil {
 		return nil, fmt.Errorf("start instance %q: %w", s.Name, err)
@@ -104,7 +105,7 @@
 	messages := make(chan fleet.SendGossip, maxQueuedMessages)
 	i.node = forward.NewNode(forward.Options{
 		Fleet: fleet.Options{
-			Name: s.Name, FailureDomain: s.FailureDomain, Policy: opts.Policy,
+			Name: s.Name, Incarnation: incarnation, FailureDomain: s.FailureDomain, Policy: opts.Policy,
 			RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
 			ReservationTTL: s.ReservationTTL, Seed: seedFromName(s.Name),
 		},
@@ -143,7 +144,7 @@
 		return nil, fmt.Errorf("start instance %q: %w", s.Name, err)
 	}
 	i.startFollower()
-	opts.Log.Info("started", "instance", s.Name, "domain", s.FailureDomain, "callers", s.CallersAddress, "message_format", currentFormat)
+	opts.Log.Info("started", "instance", s.Name, "incarnation", strconv.FormatUint(incarnation, 36), "domain", s.FailureDomain, "callers", s.CallersAddress, "message_format", currentFormat)
 	return i, nil
 }
 
