fleet: peers keep the loads of each process of an instance apart

Found on the path of the fault in tickets: the keys of loads count from zero in each process, too. A peer that had not heard the joining message of a restarted instance took its load for the former one's with that key and counted it at the wrong target until the next whole statement; an ended load of the former process, heard late, ended the successor's.

Loads belong to a process. Its first whole statement replaces what the others of its name have told; late messages of these replace nothing and expire as those of a silent peer. Builds that name no process are told apart by the joining message, as before.

TestElementsOfLaterBuildsAreIgnored adds its unknown element behind the new one.

--- a/internal/fleet/engine_model.go
+++ b/internal/fleet/engine_model.go
@@ -33,7 +33,7 @@
 
 // requestKey identifies a request among all instances.
 type requestKey struct {
-	owner   string // see trackedLoad
+	owner   loadOwner
 	request uint64
 }
 
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -193,6 +193,8 @@
 	// From is the name of the peer, Domain its failure domain. RelayAddress is the
 	// host:port at which it serves requests of its peers.
 	From, Domain, RelayAddress string
+	// Incarnation is that of the peer's process, zero from builds that do not tell it.
+	Incarnation uint64
 	// StorePosition is up to where the peer has read the platform's store.
 	StorePosition StorePosition
 	// RelayUnproven says that the peer's build is not known to serve such requests.
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -68,7 +68,7 @@
 type peer struct {
 	domain        string
 	lastMessageAt time.Duration
-	loads         map[uint64]placedLoad // by TargetLoad.Key
+	processes     map[uint64]*peerProcess // by incarnation
 	// relayAddress is where the peer serves requests of others. relayFailures are the times
 	// at which it last could not, by service.
 	relayAddress  string
@@ -76,13 +76,6 @@
 	relayFailures map[string]time.Duration
 }
 
-// placedLoad is a load with the target that carries it, kept so that the load can be
-// removed from the target later.
-type placedLoad struct {
-	target *targetState
-	load   *trackedLoad
-}
-
 // outbox collects the changes for the next messages to the peers.
 type outbox struct {
 	pending           Gossip
@@ -175,12 +168,10 @@
 	}
 	c.outbox.clear()
 	for name, p := range c.peers {
-		if c.now-p.lastMessageAt > peerLoadTimeout {
-			c.dropPeerLoads(p, nil)
-			if c.now-p.lastMessageAt > peerExpiry {
-				delete(c.peers, name)
-				c.updateInstanceDomains()
-			}
+		c.expireProcesses(p)
+		if c.now-p.lastMessageAt > peerExpiry {
+			delete(c.peers, name)
+			c.updateInstanceDomains()
 		}
 	}
 }
@@ -191,7 +182,7 @@
 	g := Gossip{Full: true}
 	for _, target := range c.targets {
 		for _, tracked := range target.loads {
-			if tracked.owner == "" && c.isTold(domain, target) {
+			if tracked.owner.isSelf() && c.isTold(domain, target) {
 				load := tracked.TargetLoad
 				load.AgeMS = int(toMS(c.now - tracked.addedAt))
 				load.FirstEventSeen = tracked.firstEventSeen
@@ -208,23 +199,13 @@
 	return g
 }
 
-// dropPeerLoads removes a peer's loads except those with keys in keepKeys.
-func (c *Core) dropPeerLoads(p *peer, keepKeys map[uint64]bool) {
-	for key, placed := range p.loads {
-		if !keepKeys[key] {
-			placed.target.removeLoad(c.now, placed.load)
-			delete(p.loads, key)
-		}
-	}
-}
-
 // handlePeerGossip applies a message from a peer. A peer that is new, or that asks for
 // it, is answered by a full message.
 func (c *Core) handlePeerGossip(ev PeerGossip) {
 	p := c.peers[ev.From]
 	isNew := p == nil
 	if isNew {
-		p = &peer{domain: ev.Domain, loads: make(map[uint64]placedLoad)}
+		p = &peer{domain: ev.Domain, processes: make(map[uint64]*peerProcess)}
 		c.peers[ev.From] = p
 		c.updateInstanceDomains()
 		c.log("peer-found", "peer", ev.From, "domain", ev.Domain)
@@ -233,54 +214,11 @@
 		c.emit(SendGossip{Peer: ev.From, Gossip: c.fullGossip(c.gossipDomainOf(p))})
 	}
 	p.lastMessageAt, p.relayAddress, p.relayUnproven = c.now, ev.RelayAddress, ev.RelayUnproven
-	g := &ev.Gossip
-	if g.Full {
-		keepKeys := make(map[uint64]bool, len(g.Loads))
-		for i := range g.Loads {
-			keepKeys[g.Loads[i].Key] = true
-		}
-		c.dropPeerLoads(p, keepKeys)
-	}
-	for _, load := range g.Loads {
-		c.addPeerLoad(p, ev.From, load)
-	}
-	for _, key := range g.FirstEvents {
-		if placed, ok := p.loads[key]; ok && !placed.load.firstEventSeen {
-			placed.target.markFirstEvent(c.now, placed.load)
-			c.recordHeard(placed.target)
-			placed.target.health.recordSuccess()
-		}
-	}
-	for _, key := range g.EndedLoads {
-		if placed, ok := p.loads[key]; ok {
-			placed.target.removeLoad(c.now, placed.load)
-			delete(p.loads, key)
-		}
-	}
+	c.applyPeerLoads(p, c.peerProcess(p, &ev), &ev.Gossip)
 	c.applyPeerWarnings(&ev)
-	if g.News != nil {
-		c.applyNews(ev.From, g.News)
-	}
-}
-
-// addPeerLoad adds a load of a peer, or records its first event if the load is known.
-// A load that was sent a while ago counts as prefilled for that long.
-func (c *Core) addPeerLoad(p *peer, from string, load TargetLoad) {
-	if placed, ok := p.loads[load.Key]; ok {
-		if load.FirstEventSeen && !placed.load.firstEventSeen {
-			placed.target.markFirstEvent(c.now, placed.load)
-		}
-		return
-	}
-	target := c.targets[load.Target]
-	if target == nil {
-		return
-	}
-	tracked := target.addLoad(c.now, from, load)
-	if !load.FirstEventSeen {
-		tracked.pendingPrefillMS = max(0, tracked.pendingPrefillMS-float64(load.AgeMS))
+	if ev.Gossip.News != nil {
+		c.applyNews(ev.From, ev.Gossip.News)
 	}
-	p.loads[load.Key] = placedLoad{target, tracked}
 }
 
 // applyPeerWarnings records the failed and leaving targets that a peer reports.
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -323,7 +323,7 @@
 			FirstEventLimitMS: int(toMS(a.arrival.Route.TargetLatency - (c.now - a.arrivedAt))),
 			CallerLimitMS:     int(toMS(a.firstEventDeadline() - c.now)),
 		}
-		a.loads = append(a.loads, placedLoad{target, target.addLoad(c.now, "", load)})
+		a.loads = append(a.loads, placedLoad{target, target.addLoad(c.now, loadOwner{}, load)})
 		c.outbox.pending.Loads = append(c.outbox.pending.Loads, load)
 		c.outbox.recordChange(load.Key, target)
 	}
--- a/internal/fleet/silence.go
+++ b/internal/fleet/silence.go
@@ -277,7 +277,7 @@
 			return false
 		}
 		if slices.ContainsFunc(target.loads, func(tracked *trackedLoad) bool {
-			return tracked.owner == "" && !tracked.HelperPart && c.now-tracked.addedAt >= minStallTimeout
+			return tracked.owner.isSelf() && !tracked.HelperPart && c.now-tracked.addedAt >= minStallTimeout
 		}) {
 			silent++
 		}
--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -12,7 +12,7 @@
 	_ struct{} `cbor:",toarray"`
 	// Target is the id of the target.
 	Target string
-	// Key identifies the load within its instance.
+	// Key identifies the load within the process of its instance.
 	Key uint64
 	// PrefillMS is the predicted time to prefill the prompt, or the part of it.
 	PrefillMS float64
@@ -37,15 +37,23 @@
 	CallerLimitMS int
 	// Value is the value of the request when it is served in time; see requestValue.
 	Value float64
-	// Request identifies the request within its instance; all parts of one prompt
+	// Request identifies the request within the process of its instance; all parts of one prompt
 	// share it.
 	Request uint64
 }
 
+// loadOwner is the process of a peer that sent a request; zero for this instance.
+type loadOwner struct {
+	peer        string
+	incarnation uint64
+}
+
+func (o loadOwner) isSelf() bool { return o == loadOwner{} }
+
 // trackedLoad is a load at a target with its predicted progress.
 type trackedLoad struct {
 	TargetLoad
-	owner            string // name of the peer that sent the request; empty for this instance
+	owner            loadOwner
 	pendingPrefillMS float64
 	firstEventSeen   bool
 	addedAt          time.Duration
@@ -76,8 +84,8 @@
 	unreadableLeavingLogged bool
 }
 
-// addLoad adds a load that was sent by this instance or by the peer owner.
-func (t *targetState) addLoad(now time.Duration, owner string, load TargetLoad) *trackedLoad {
+// addLoad adds a load that its owner has sent.
+func (t *targetState) addLoad(now time.Duration, owner loadOwner, load TargetLoad) *trackedLoad {
 	t.advancePrefills(now)
 	tracked := &trackedLoad{
 		TargetLoad: load, owner: owner, pendingPrefillMS: load.PrefillMS, firstEventSeen: load.FirstEventSeen, addedAt: now,
--- a/internal/fleetnode/gossip.go
+++ b/internal/fleetnode/gossip.go
@@ -27,14 +27,16 @@
 
 // gossip exchanges datagrams with the other instances of the fleet.
 type gossip struct {
-	name       string
-	domain     string
-	ownAddress netip.AddrPort
-	relayPort  int
-	conn       *net.UDPConn
-	log        logr.Logger
-	metrics    forward.Metrics
-	onPeerLoad func(fleet.PeerGossip)
+	name   string
+	domain string
+	// incarnation is that of this process.
+	incarnation uint64
+	ownAddress  netip.AddrPort
+	relayPort   int
+	conn        *net.UDPConn
+	log         logr.Logger
+	metrics     forward.Metrics
+	onPeerLoad  func(fleet.PeerGossip)
 	// onMessage is called for each message.
 	onMessage func(peer netip.AddrPort, d *datagram)
 	// versions returns the newest versions that this instance has.
@@ -68,7 +70,7 @@
 
 // listenGossip opens the UDP socket and adds the seed addresses. An invalid
 // seed is logged and ignored.
-func listenGossip(s *Settings, metrics forward.Metrics, log logr.Logger) (*gossip, error) {
+func listenGossip(s *Settings, incarnation uint64, metrics forward.Metrics, log logr.Logger) (*gossip, error) {
 	own, err := netip.ParseAddrPort(net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)))
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
@@ -77,7 +79,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers at %s: %w", own, err)
 	}
-	g := &gossip{name: s.Name, domain: s.FailureDomain, ownAddress: own, relayPort: s.RelayPort, conn: conn, log: log, metrics: metrics, peers: make(map[netip.AddrPort]*peerContact)}
+	g := &gossip{name: s.Name, domain: s.FailureDomain, incarnation: incarnation, ownAddress: own, relayPort: s.RelayPort, conn: conn, log: log, metrics: metrics, peers: make(map[netip.AddrPort]*peerContact)}
 	for _, seed := range s.Seeds {
 		if a, err := netip.ParseAddrPort(seed); err == nil {
 			g.addPeer(a)
@@ -140,7 +142,7 @@
 // send sends a message to its recipients. Writes to a UDP socket do not wait for the
 // receiver.
 func (g *gossip) send(m fleet.SendGossip) {
-	d := datagram{From: g.name, Domain: g.domain, FollowsStore: g.followsStore(), Gossip: m.Gossip}
+	d := datagram{From: g.name, Domain: g.domain, FollowsStore: g.followsStore(), Gossip: m.Gossip, Incarnation: g.incarnation}
 	version, position := g.versions()
 	d.ConfigVersion, d.StorePosition = version, packPosition(position)
 	recipients := g.recipients(m)
@@ -206,7 +208,7 @@
 		g.addPeer(a)
 	}
 	g.onPeerLoad(fleet.PeerGossip{
-		From: m.From, Domain: m.Domain, RelayAddress: netip.AddrPortFrom(from.Addr(), uint16(g.relayPort)).String(),
+		From: m.From, Domain: m.Domain, Incarnation: m.Incarnation, RelayAddress: netip.AddrPortFrom(from.Addr(), uint16(g.relayPort)).String(),
 		RelayUnproven: !g.formOf(from).servesRelays(), StorePosition: fleet.StorePosition(m.StorePosition.position()), Gossip: m.Gossip,
 	})
 	g.onMessage(from, &m.datagram)
--- a/internal/fleetnode/message.go
+++ b/internal/fleetnode/message.go
@@ -27,6 +27,9 @@
 	// messages that state all loads.
 	Peers  []netip.AddrPort
 	Gossip fleet.Gossip
+	// Incarnation tells the sender's process from others that have had its name; zero from
+	// builds that do not send it.
+	Incarnation uint64
 }
 
 // packedPosition is a position of the store as one number. Builds that do not know of
@@ -57,8 +60,10 @@
 	unnumberedFormat messageFormat = 0
 	// incarnationsFormat is the first that names leaving targets with their start.
 	incarnationsFormat messageFormat = 1
+	// processesFormat is the first that tells the sender's process from others of its name.
+	processesFormat messageFormat = 2
 	// currentFormat is that of this build.
-	currentFormat = incarnationsFormat
+	currentFormat = processesFormat
 	// formatTag is the number of the CBOR tag of format zero.
 	formatTag uint64 = 0x6d646b00
 	// maxFormat is the largest format that the tag can hold.
@@ -141,12 +146,30 @@
 	Survivals []quarantine.Survival
 }
 
+// incarnationsDatagram is a datagram in incarnationsFormat.
+type incarnationsDatagram struct {
+	_             struct{} `cbor:",toarray"`
+	From, Domain  string
+	FollowsStore  bool
+	ConfigVersion uint64
+	StorePosition packedPosition
+	Peers         []netip.AddrPort
+	Gossip        fleet.Gossip
+}
+
 // encode returns a message in the form that a peer reads.
 func (d *datagram) encode(form peerForm) ([][]byte, error) {
-	if form.format == unnumberedFormat {
+	var content any = d
+	switch form.format {
+	case unnumberedFormat:
 		return d.encodeUnnumbered(form)
+	case incarnationsFormat:
+		content = &incarnationsDatagram{
+			From: d.From, Domain: d.Domain, FollowsStore: d.FollowsStore, ConfigVersion: d.ConfigVersion,
+			StorePosition: d.StorePosition, Peers: d.Peers, Gossip: d.Gossip,
+		}
 	}
-	raw, err := cbor.Marshal(cbor.Tag{Number: formatTag + uint64(currentFormat), Content: d})
+	raw, err := cbor.Marshal(cbor.Tag{Number: formatTag + uint64(currentFormat), Content: content})
 	if err != nil {
 		return nil, fmt.Errorf("encode a message to peers: %w", err)
 	}
--- a/internal/fleetnode/message_test.go
+++ b/internal/fleetnode/message_test.go
@@ -33,7 +33,7 @@
 	}
 	g[6] = append(news, "later")
 	d[6] = append(g, []any{[]any{"t-4", 6, "later"}}, "later")
-	raw, err := cbor.Marshal(cbor.Tag{Number: formatTag + 2, Content: append(d, "later")})
+	raw, err := cbor.Marshal(cbor.Tag{Number: formatTag + uint64(currentFormat) + 1, Content: append(d, 9, "later")})
 	must.NoError(t, err)
 	return raw
 }
@@ -47,8 +47,10 @@
 	must.NoError(t, err)
 	must.Eq(t, []fleet.LeavingTarget{{ID: "t-4", StartedMS: 6}}, m.Gossip.Leaving)
 	m.Gossip.Leaving = nil
+	must.Eq(t, 9, m.Incarnation)
+	m.Incarnation = 0
 	must.Eq(t, plain.datagram, m.datagram)
-	must.Eq(t, 2, m.format)
+	must.Eq(t, currentFormat+1, m.format)
 }
 
 // One part that cannot be read must not cost the others, and must not flood the log.
@@ -118,6 +120,7 @@
 	must.NoError(t, err)
 	m.Gossip.LeavingTargets = nil
 	m.Gossip.Leaving = []fleet.LeavingTarget{{ID: "t-3", StartedMS: 6}}
+	m.Incarnation = 7
 	raw, err := m.encode(peerForm{format: currentFormat})
 	must.NoError(t, err)
 	must.Len(t, 1, raw)
@@ -126,6 +129,7 @@
 	must.Eq(t, m.datagram, read.datagram)
 	must.Eq(t, currentFormat, read.format)
 
+	m.Incarnation = 0 // which older builds are not told
 	raw, err = m.encode(peerForm{eras: true, news: newsWithLimits})
 	must.NoError(t, err)
 	must.Len(t, 1, raw)
@@ -145,14 +149,17 @@
 		"83621b5-news.cbor":  {news: newsWithoutLimits},
 		"7d4555b-news.cbor":  {news: newsWithLimits},
 		"26e3ce8-news.cbor":  {news: newsWithLimits, eras: true},
+		"04352cd-news.cbor":  {format: incarnationsFormat},
 	} {
 		recorded := recordedMessage(t, name)
 		m, err := decodeMessage(recorded)
 		must.NoError(t, err)
+		m.Incarnation = 7
 		raw, err := m.encode(form)
 		must.NoError(t, err)
 		must.Len(t, 1, raw)
-		must.Eq(t, recorded, raw[0][formatHeadBytes:], must.Sprint(name))
+		_, content := splitFormat(recorded)
+		must.Eq(t, content, raw[0][formatHeadBytes:], must.Sprint(name))
 	}
 }
 
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -94,7 +94,7 @@
 		return nil, fmt.Errorf("start instance %q: %w", s.Name, err)
 	}
 	incarnation := newIncarnation()
-	g, err := listenGossip(s, metrics, opts.Log)
+	g, err := listenGossip(s, incarnation, metrics, opts.Log)
 	if err != nil {
 		return nil, fmt.Errorf("start instance %q: %w", s.Name, err)
 	}
