membership: an instance whose clock was set back is known after its restart

On loopback an incarnation is the time of the start. After a step of the clock backwards, peers took the heartbeats of the new process for older ones than those of the former, and kept it as dead for as long as the platform listed it.

An instance that hears of a higher incarnation at its own address raises its own above that.

Failed before: TestRestartWithAnEarlierIncarnationIsKnownEverywhere (peers keep 1000 instead of 500).

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -132,7 +132,7 @@
 	}
 	opts.Entry = entry.Options{
 		Name: c.name, FailureDomain: c.domain, Address: c.advertise, Peers: c.join,
-		Incarnation: uint64(time.Now().UnixNano()), Seed: seedOf(c.name), StopLag: c.stopLag,
+		Incarnation: instance.NewIncarnation(), Seed: seedOf(c.name), StopLag: c.stopLag,
 		Orders: true, WeightStoreRate: c.weightStoreRate,
 	}
 	return opts, nil
--- a/internal/dev/entry.go
+++ b/internal/dev/entry.go
@@ -65,7 +65,7 @@
 	return instance.Start(instance.Options{
 		Entry: entry.Options{
 			Name: entryName(i), FailureDomain: EntryDomain(i), Address: d.entries[i].peers, Peers: peers,
-			Incarnation: uint64(time.Now().UnixNano()), Seed: d.opts.Engine.Seed + uint64(i), Orders: true,
+			Incarnation: instance.NewIncarnation(), Seed: d.opts.Engine.Seed + uint64(i), Orders: true,
 		},
 		Callers: listeners[0], Operators: listeners[1], Peers: listeners[2], PeerTLS: identity,
 		PlatformURL: d.PlatformURL, DialTimeout: time.Second, Log: d.opts.Log, Speed: d.opts.Engine.Speed,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -30,7 +30,8 @@
 	// Peers are addresses of other instances. They get heartbeats while this
 	// instance knows no other, for instance from the platform's list.
 	Peers []string
-	// Incarnation increases with each start of an instance of this name.
+	// Incarnation increases with each start of an instance of this name, and is never that of
+	// a former start: the names that others remember carry it.
 	Incarnation uint64
 	// StopLag is the time between the start of a planned stop, when the
 	// instance reports that it is not ready, and the first refusal of new work.
--- a/internal/entry/peers_test.go
+++ b/internal/entry/peers_test.go
@@ -44,6 +44,27 @@
 	c.requirePeerState(t, "entry-003", "alive")
 }
 
+// An instance whose clock had been set back before its restart was ignored by its peers, and
+// counted as dead as long as the platform listed it.
+func TestRestartWithAnEarlierIncarnationIsKnownEverywhere(t *testing.T) {
+	for _, down := range []time.Duration{0, 20 * time.Second} {
+		c := newCluster(4, "a", "b", "c")
+		c.advance(10 * time.Second)
+		c.killEntry("entry-003")
+		c.startEntry("entry-003", "a", 1000)
+		c.advance(10 * time.Second)
+		c.killEntry("entry-003")
+		c.advance(down)
+		c.startEntry("entry-003", "a", 500)
+		c.advance(20 * time.Second)
+		c.requirePeerState(t, "entry-003", "alive")
+		for _, name := range c.names {
+			f, _ := c.entries[name].members.Get("entry-003")
+			must.Eq(t, c.entries["entry-003"].members.Self().Incarnation, f.Incarnation, must.Sprint(down, name))
+		}
+	}
+}
+
 func TestPartitionedDomainRejoins(t *testing.T) {
 	c := newCluster(6, "a", "b")
 	c.advance(10 * time.Second)
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -78,8 +78,8 @@
 }
 
 // MergeFact merges a fact and reports whether it changed the membership. A fact
-// that calls the instance itself suspect or dead is refuted by a higher
-// heartbeat counter, which is reported as a change too.
+// that calls the instance itself suspect or dead, or that a former process has left
+// behind, is refuted by a higher one, which is reported as a change too.
 func (t *Table) MergeFact(now time.Duration, f Fact) bool {
 	if f.Name == t.self.Name {
 		return t.refuteSuspicion(f)
@@ -121,8 +121,14 @@
 }
 
 // refuteSuspicion raises the own heartbeat counter above that of a fact that
-// calls the instance suspect or dead, and reports whether it did so.
+// calls the instance suspect or dead, or the own incarnation above that of a former
+// process at the same address, whose clock was ahead. It reports whether it did so.
 func (t *Table) refuteSuspicion(f Fact) bool {
+	if f.Incarnation > t.self.Incarnation && f.Incarnation < math.MaxUint64 && f.Address == t.self.Address {
+		t.self.Incarnation = f.Incarnation + 1
+		t.liveByDomain = nil
+		return true
+	}
 	if f.Incarnation != t.self.Incarnation || f.State == Alive || f.Beat < t.self.Beat {
 		return false
 	}
