fleet: a relayed stream goes on at another peer after its peer has ended

An instance without a path to its targets sends a request to a peer with all attempts that are left. When the peer's stop cut a long stream, or the peer was killed, nobody could go on with it (resume-failed), although a resumable stream needs only another peer. What callers saw: a stream cut in its middle.

Of a request that may be repeated, one attempt is kept now for the time after the peer's failure. What was given to the peer counts as used once it has failed. The sum of attempts stays what the route allows; calls that may run at most once are given to one peer whole, as before.

Failed before: TestRelayedStreamGoesOnAtAnotherPeer, TestAttemptsOfARelayedRequestAreCountedOnce.

--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -79,7 +79,11 @@
 		a.lastEventAt = c.now
 	}
 	c.attempts[a.attempt] = a
-	relay := Relay{Peer: name, Address: c.peers[name].relayAddress, AttemptsLeft: a.maxAttempts() - a.attemptsRun}
+	a.relayAttempts = a.maxAttempts() - a.attemptsRun
+	if a.arrival.Route.Retryable() && a.relayAttempts > 1 {
+		a.relayAttempts-- // kept for the time after a failure of the peer
+	}
+	relay := Relay{Peer: name, Address: c.peers[name].relayAddress, AttemptsLeft: a.relayAttempts}
 	c.log("send-to-peer", "request", a.arrival.ID, "attempt", a.attempt, "peer", name, "attempts_left", relay.AttemptsLeft,
 		"resume_after", a.lastEventID)
 	c.incrementCounter("requests_relayed", "sent")
@@ -89,8 +93,8 @@
 	})
 }
 
-// handleRelayEnd ends the request with the peer's answer, or tries another peer if this
-// one can't have run it. After a broken connection the peer may have used all attempts.
+// handleRelayEnd ends the request with the peer's answer, or tries it again if this peer
+// can't have run it or if attempts are left that were not given to the peer.
 func (c *Core) handleRelayEnd(a *activeRequest, ev AttemptEnd) {
 	if ev.Outcome != OutcomeComplete {
 		c.log("relay-ended", "request", a.arrival.ID, "attempt", ev.Attempt, "peer", a.relayedBy, "end", ev.Outcome.String(),
@@ -104,9 +108,9 @@
 	case OutcomeComplete:
 		c.finishRequest(a, Finish{Code: result.Complete, ForwardAnswer: true})
 	case OutcomeFailed:
-		a.attemptsRun = a.maxAttempts()
+		a.attemptsRun += a.relayAttempts
 		a.hasFailureAnswer = true
-		c.refuseOrFail(a, result.TargetsRefused, minRetryAfter)
+		c.retryOrFail(a, "relay-failed")
 	case OutcomeNotConnected:
 		c.avoidRelay(name, a.service)
 		c.dispatch(a)
@@ -125,9 +129,10 @@
 	case OutcomeCallerGone:
 		a.attemptsRun++
 		c.finishRequest(a, Finish{Code: result.CallerGone})
-	default:
-		a.attemptsRun = a.maxAttempts()
-		c.refuseOrFail(a, result.TargetsRefused, minRetryAfter)
+	default: // the peer has ended, or has cut a stream that it could not resume
+		a.attemptsRun += a.relayAttempts
+		c.avoidRelay(name, a.service)
+		c.retryOrFail(a, "relay-broken")
 	}
 }
 
--- a/internal/fleet/relay_test.go
+++ b/internal/fleet/relay_test.go
@@ -271,3 +271,54 @@
 	h.core.pathTo("app").state = pathLost
 	must.Eq(t, "new", h.lastSend(h.submit(routeIdempotent, 0)).Relay.Peer)
 }
+
+// relayHarness returns a harness without a path to the service "pool", with peers that have one.
+func relayHarness(t *testing.T, peers ...string) *harness {
+	h := newHarness(t, 3)
+	for _, name := range peers {
+		h.step(PeerGossip{From: name, Domain: "a", RelayAddress: name + ":7342"})
+	}
+	h.core.pathTo("pool").state = pathLost
+	return h
+}
+
+// A stream that a peer relayed was cut when that peer's stop ended, although another peer
+// could have gone on with it.
+func TestRelayedStreamGoesOnAtAnotherPeer(t *testing.T) {
+	h := relayHarness(t, "front-2", "front-3")
+	id := h.submit(routeShort, 1000)
+	first := h.lastSend(id)
+	must.Eq(t, 1, first.Relay.AttemptsLeft)
+	h.step(Progress{Attempt: first.Attempt, EventID: "3"})
+	h.step(AttemptEnd{Attempt: first.Attempt, Outcome: OutcomeBroken})
+	must.Eq(t, 2, h.sendCount(id))
+	second := h.lastSend(id)
+	must.NotEq(t, first.Relay.Peer, second.Relay.Peer)
+	must.Eq(t, "3", second.ResumeAfter)
+	must.Eq(t, 1, second.Relay.AttemptsLeft)
+	h.step(AttemptEnd{Attempt: second.Attempt, Outcome: OutcomeBroken})
+	must.Eq(t, 2, h.sendCount(id)) // two attempts may have run
+	must.Eq(t, result.ResumeFailed, h.finishes[id].Code)
+}
+
+// A peer's failure leaves the attempt that was not given to it, and nothing else.
+func TestAttemptsOfARelayedRequestAreCountedOnce(t *testing.T) {
+	for _, outcome := range []AttemptOutcome{OutcomeFailed, OutcomeBroken} {
+		h := relayHarness(t, "front-2", "front-3")
+		h.core.pathTo("app").state = pathLost
+		id := h.submit(routeIdempotent, 0)
+		must.Eq(t, 1, h.lastSend(id).Relay.AttemptsLeft)
+		h.step(AttemptEnd{Attempt: h.lastSend(id).Attempt, Outcome: outcome})
+		must.Eq(t, 2, h.sendCount(id))
+		h.step(AttemptEnd{Attempt: h.lastSend(id).Attempt, Outcome: outcome})
+		must.Eq(t, 2, h.sendCount(id))
+		must.SliceContains(t, []result.Family{result.FamilyFailed, result.FamilyUnknown}, h.finishes[id].Code.Family())
+
+		h.advance(relayRetryDelay)
+		once := h.submit(routeNonIdempotent, 0)
+		must.Eq(t, 2, h.lastSend(once).Relay.AttemptsLeft) // the peer alone knows whether it ran
+		h.step(AttemptEnd{Attempt: h.lastSend(once).Attempt, Outcome: outcome})
+		must.Eq(t, 1, h.sendCount(once))
+		must.SliceContains(t, []result.Family{result.FamilyFailed, result.FamilyUnknown}, h.finishes[once].Code.Family())
+	}
+}
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -79,6 +79,8 @@
 	quietAttempt AttemptID // attempt whose target answered that it wants quiet, 0 for none
 
 	relayedBy string // name of the peer that serves the current attempt, empty for none
+	// relayAttempts is the number of attempts that this peer may make.
+	relayAttempts int
 	relays    int    // peers to which the request was sent
 	// otherVersionPeers are the names of peers whose configuration does not allow the request.
 	otherVersionPeers []string
