fleet: entries that name no target take nothing away from sound ones

Cause: a later start at an address replaced the target there whatever the entry was, and nothing true took that back. An entry replaces others only if the configuration names its service. A target that answers 421 under its own id at its address is used again. An overwritten entry leaves its target as it was, in a list as in a watch.

--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -190,7 +190,8 @@
 	}
 	if ev.Outcome == OutcomeMisdirected {
 		c.setGone(failedTarget)
-		c.log("target-gone", "target", failedTarget.ID, "why", "address-reused")
+		c.log("target-gone", "target", failedTarget.ID, "why", "address-reused", "answered_by", ev.AnsweredBy)
+		c.recordPresence(ev.AnsweredBy, failedTarget.Address)
 	} else if failedTarget != a.target || a.quietAttempt != ev.Attempt {
 		failedTarget.health.recordFailure(c.now, 1, failedTarget != a.target)
 	}
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -128,7 +128,7 @@
 	case TargetRemoved:
 		c.removeTarget(ev.ID)
 	case TargetList:
-		c.syncTargets(ev.Targets)
+		c.syncTargets(ev)
 	case StoreReachability:
 		c.setStoreReachable(ev.Reachable)
 	case StoreRestored:
@@ -189,7 +189,9 @@
 	}
 	c.log("configuration", "version", config.Version, "routes", len(config.Routes),
 		"workspaces", len(config.Workspaces))
+	former := c.config
 	c.config = config
+	c.applyKnownServices(former)
 }
 
 // afterFunc runs fn in the first Step at or after now+delay. Timers cannot be
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -60,7 +60,12 @@
 
 // TargetList delivers the platform's whole list of targets; targets that it lacks
 // are removed.
-type TargetList struct{ Targets []Target }
+type TargetList struct {
+	Targets []Target
+	// Unreadable are the ids of entries that name no target, as other writers store them.
+	// Targets that are known by these ids stay as they are.
+	Unreadable []string
+}
 
 // StoreReachability reports whether the platform's store is reachable from this instance.
 type StoreReachability struct{ Reachable bool }
@@ -176,6 +181,8 @@
 	// FailedAddress is the address of the target that caused the failure, if the answer
 	// names one; it may be a helper.
 	FailedAddress string
+	// AnsweredBy is the id of the target that has answered, if the answer names it.
+	AnsweredBy string
 	// EndedByClose says that a complete answer had no length and ended with its
 	// connection, as it also does when its target ends.
 	EndedByClose bool
--- a/internal/fleet/quiet_test.go
+++ b/internal/fleet/quiet_test.go
@@ -147,7 +147,7 @@
 	h.step(TargetListed{t0})
 	must.Eq(t, 0, h.sendCount(h.submit(routeShort, 2000)))
 	h.step(StoreRestored{})
-	h.step(TargetList{[]Target{t0}})
+	h.step(TargetList{Targets: []Target{t0}})
 	must.Eq(t, 0, h.sendCount(h.submit(routeShort, 2000)))
 	t0.StartedMS++
 	h.step(TargetListed{t0})
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"time"
+)
 
 const (
 	// removalDelay is the time after a store outage in which targets whose entries
@@ -76,7 +80,8 @@
 	}
 	if known == nil {
 		c.markAddressReused(t)
-		target := &targetState{Target: t, advancedAt: c.now, gone: c.isReplaced(t), quiet: c.quiets[t.incarnation()]}
+		replaced := c.isReplaced(t)
+		target := &targetState{Target: t, advancedAt: c.now, gone: replaced, replaced: replaced, quiet: c.quiets[t.incarnation()]}
 		c.targets[t.ID] = target
 		c.addTarget(target)
 		c.log("target-listed", "target", t.ID, "service", t.Service, "address", t.Address, "domain", t.FailureDomain)
@@ -90,28 +95,71 @@
 	}
 	c.markListedLeaving(known, t.State)
 	if t.State == Ready && known.gone && !c.isReplaced(t) { // listed again after its entry expired
-		known.gone = false
+		known.gone, known.replaced = false, false
 		c.log("target-listed-again", "target", t.ID)
 	}
 }
 
+// recordPresence records that a target has answered under its id at an address, which
+// contradicts an entry that names another one there.
+func (c *Core) recordPresence(id, address string) {
+	target := c.targets[id]
+	if target == nil || !target.replaced || target.Address != address {
+		return
+	}
+	target.gone, target.replaced = false, false
+	delete(c.store.departed, target.incarnation())
+	c.log("target-present", "target", id, "address", address)
+}
+
 // isReplaced reports whether a target that started later has the address of t, whose
 // entry is then a leftover in a list that a peer or the store held.
 func (c *Core) isReplaced(t Target) bool {
 	for _, target := range c.targets {
-		if target.Address == t.Address && target.ID != t.ID && !target.gone && target.StartedMS > t.StartedMS {
+		if target.Address == t.Address && target.ID != t.ID && !target.gone && target.StartedMS > t.StartedMS && c.isOfKnownService(target.Target) {
 			return true
 		}
 	}
 	return false
 }
 
+// isOfKnownService reports whether the configuration names the service of a target. Other
+// entries say nothing of an address: nobody sends requests to what they name.
+func (c *Core) isOfKnownService(t Target) bool {
+	return c.config != nil && c.config.Services[t.Service] != nil
+}
+
+// applyKnownServices marks the targets as replaced whose address belongs to a later one of a
+// service that the configuration names since former.
+func (c *Core) applyKnownServices(former *Config) {
+	byAddress := make(map[string][]*targetState)
+	for _, target := range c.targets {
+		byAddress[target.Address] = append(byAddress[target.Address], target)
+	}
+	for _, targets := range byAddress {
+		if len(targets) == 1 {
+			continue
+		}
+		slices.SortFunc(targets, func(a, b *targetState) int { return strings.Compare(a.ID, b.ID) })
+		for _, target := range targets {
+			isNew := former == nil || former.Services[target.Service] == nil
+			if isNew && !target.gone {
+				c.markAddressReused(target.Target)
+			}
+		}
+	}
+}
+
 // markAddressReused marks the targets with the address of t that started no later as
 // gone: the address now belongs to t.
 func (c *Core) markAddressReused(t Target) {
+	if !c.isOfKnownService(t) {
+		return
+	}
 	for _, target := range c.targets {
 		if target.Address == t.Address && target.ID != t.ID && !target.gone && target.StartedMS <= t.StartedMS {
 			c.setGone(target)
+			target.replaced = true
 			c.log("target-replaced", "target", target.ID, "by", t.ID, "address", t.Address)
 		}
 	}
@@ -143,7 +191,7 @@
 
 // setGone marks a target as gone and remembers that it has left.
 func (c *Core) setGone(target *targetState) {
-	target.gone = true
+	target.gone, target.replaced = true, false
 	for left, at := range c.store.departed {
 		if c.now-at > departureMemory {
 			delete(c.store.departed, left)
@@ -159,15 +207,18 @@
 }
 
 // syncTargets applies the platform's whole list: targets that it lacks are removed.
-func (c *Core) syncTargets(targets []Target) {
-	listedIDs := make(map[string]bool, len(targets))
-	for _, t := range targets {
+func (c *Core) syncTargets(list TargetList) {
+	listedIDs := make(map[string]bool, len(list.Targets))
+	for _, id := range list.Unreadable {
+		listedIDs[id] = true
+	}
+	for _, t := range list.Targets {
 		listedIDs[t.ID] = true
 		c.updateTarget(t)
 	}
 	for _, pool := range c.targetsByService {
 		for _, target := range append([]*targetState(nil), pool...) {
-			if !listedIDs[target.ID] && !target.gone {
+			if !listedIDs[target.ID] && (!target.gone || target.replaced) {
 				c.removeTarget(target.ID)
 			}
 		}
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -1,6 +1,10 @@
 package fleet
 
 import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -101,7 +105,7 @@
 	newer.ID, newer.StartedMS = "new", 2
 	h.step(TargetListed{older})
 	h.step(TargetListed{newer})
-	h.step(TargetList{[]Target{newer, older}})
+	h.step(TargetList{Targets: []Target{newer, older}})
 	must.False(t, h.core.targets["new"].gone)
 	must.True(t, h.core.targets["old"] == nil || h.core.targets["old"].gone)
 	// The same if the stale entry comes first or is new to this instance.
@@ -122,7 +126,7 @@
 	h.step(StoreRestored{})
 	copied := h.core.targets["pool-01"].Target
 	copied.Outdated, left.Outdated = true, true
-	h.step(TargetList{[]Target{left, copied}})
+	h.step(TargetList{Targets: []Target{left, copied}})
 	must.False(t, h.acceptsRequests("pool-00"))
 	must.True(t, h.acceptsRequests("pool-01"))
 	h.step(TargetListed{left})
@@ -148,7 +152,7 @@
 	h.step(TargetListed{later})
 	h.step(StoreRestored{})
 	earlier.Outdated = true
-	h.step(TargetList{[]Target{earlier}})
+	h.step(TargetList{Targets: []Target{earlier}})
 	must.Eq(t, later.Address, h.core.targets["pool-00"].Address)
 }
 
@@ -157,7 +161,7 @@
 func TestTargetsMissingFromARestoredListStayInUse(t *testing.T) {
 	h := newHarness(t, 3)
 	h.step(StoreRestored{})
-	h.step(TargetList{[]Target{h.core.targets["pool-00"].Target}})
+	h.step(TargetList{Targets: []Target{h.core.targets["pool-00"].Target}})
 	must.True(t, h.acceptsRequests("pool-01"))
 	h.advance(time.Second)
 	h.listTarget("pool", 1, "a")
@@ -195,3 +199,115 @@
 	h.advance(placementRetryDelay)
 	must.Eq(t, maxImmediatePlacements+2, h.sendCount(id))
 }
+
+// foreignEntry is an entry of another writer for the address of a target.
+func foreignEntry(id, service, address string) TargetListed {
+	return TargetListed{Target{ID: id, Service: service, Address: address, FailureDomain: "a", Slots: 16, StartedMS: 1 << 40}}
+}
+
+// Entries of a service that nobody has configured took sound targets at their addresses out of
+// use for everybody, also after a restart.
+func TestEntriesOfUnknownServicesReplaceNothing(t *testing.T) {
+	listed := newHarness(t, 2)
+	for i := range 2 {
+		listed.step(foreignEntry(fmt.Sprintf("foreign-%d", i), "metrics", listed.core.targets[fmt.Sprintf("pool-%02d", i)].Address))
+	}
+	restarted := newHarness(t, 0)
+	for i := range 2 {
+		restarted.step(foreignEntry(fmt.Sprintf("foreign-%d", i), "metrics", fmt.Sprintf("10.0.0.%d:pool", i)))
+		restarted.listTarget("pool", i, "a")
+	}
+	for _, h := range []*harness{listed, restarted} {
+		for id, target := range h.core.targets {
+			must.False(t, target.gone, must.Sprint(id))
+		}
+		must.Eq(t, 1, h.sendCount(h.submit(routeShort, 1000)))
+	}
+}
+
+// A service that is configured after its targets were listed has replaced others, as if both
+// had become known the other way round.
+func TestTargetsOfAServiceThatIsConfiguredLaterReplaceOthers(t *testing.T) {
+	h := newHarness(t, 2)
+	h.step(foreignEntry("later-0", "later", h.core.targets["pool-00"].Address))
+	must.False(t, h.core.targets["pool-00"].gone)
+	config := *h.config
+	config.Version, config.Services = 2, maps.Clone(h.config.Services)
+	config.Services["later"] = &Service{Name: "later"}
+	config.BuildIndexes()
+	h.step(Configure{&config})
+	must.True(t, h.core.targets["pool-00"].gone)
+	must.False(t, h.core.targets["pool-01"].gone)
+	must.False(t, h.core.targets["later-0"].gone)
+}
+
+// An entry that could be a target's takes the place of a sound one, until that answers under
+// its own id.
+func TestTargetThatAnswersIsThereWhateverIsWritten(t *testing.T) {
+	h := newHarness(t, 1)
+	h.step(foreignEntry("impostor", "pool", h.core.targets["pool-00"].Address))
+	must.True(t, h.core.targets["pool-00"].gone)
+	id := h.submit(routeShort, 1000)
+	must.Eq(t, "impostor", h.lastSend(id).Target.ID)
+	h.step(AttemptEnd{Attempt: h.lastSend(id).Attempt, Outcome: OutcomeMisdirected, Status: 421, AnsweredBy: "pool-00"})
+	must.False(t, h.acceptsRequests("impostor"))
+	must.Eq(t, "pool-00", h.lastSend(id).Target.ID)
+	must.True(t, h.acceptsRequests("pool-00"))
+	h.step(TargetListed{Target{ID: "impostor-2", Service: "pool", Address: h.core.targets["pool-00"].Address, FailureDomain: "a", Slots: 16, StartedMS: 1 << 40}})
+	h.step(AttemptEnd{Attempt: h.lastSend(id).Attempt, Outcome: OutcomeComplete})
+	must.False(t, h.acceptsRequests("pool-00"))
+	h.step(TargetList{Targets: []Target{h.core.targets["impostor-2"].Target}})
+	must.MapNotContainsKey(t, h.core.targets, "pool-00") // what the store no longer lists is not kept
+}
+
+// An entry that another writer had overwritten ended its target in a list, and not in a watch.
+func TestOverwrittenEntryLeavesItsTarget(t *testing.T) {
+	h := newHarness(t, 2)
+	h.step(TargetList{Targets: []Target{h.core.targets["pool-00"].Target}, Unreadable: []string{"pool-01", "unknown"}})
+	must.True(t, h.acceptsRequests("pool-00"))
+	must.True(t, h.acceptsRequests("pool-01"))
+	must.MapNotContainsKey(t, h.core.targets, "unknown")
+	must.False(t, h.acceptsRequests("app-00"))
+}
+
+// Whatever other writers store beside sound entries, at their addresses, before them, in lists
+// or one by one: the sound targets stay in use.
+func TestForeignEntriesAmongSoundOnesTakeNothingAway(t *testing.T) {
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 43))
+		h := newHarness(t, 0)
+		var sound, foreign []Target
+		for i := range 6 {
+			sound = append(sound, Target{
+				ID: fmt.Sprintf("pool-%02d", i), Service: "pool", Address: fmt.Sprintf("10.0.0.%d:1", i), FailureDomain: "a", Slots: 16, StartedMS: 100,
+			})
+		}
+		step := func() {
+			switch f := foreignEntry(fmt.Sprintf("foreign-%d", rng.IntN(9)), "metrics", sound[rng.IntN(6)].Address); rng.IntN(4) {
+			case 0:
+				h.step(f)
+				foreign = append(foreign, f.Target)
+			case 1:
+				h.step(TargetRemoved{f.Target.ID})
+			case 2:
+				h.step(TargetListed{sound[rng.IntN(6)]})
+			case 3:
+				list := append(slices.Clone(foreign), sound[:3]...)
+				rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+				h.step(TargetList{Targets: list, Unreadable: []string{"pool-03", "pool-04", "pool-05"}})
+			}
+		}
+		for range 30 {
+			step()
+		}
+		for _, target := range sound {
+			h.step(TargetListed{target})
+		}
+		for range 30 {
+			step()
+		}
+		for _, target := range sound {
+			must.True(t, h.acceptsRequests(target.ID), must.Sprintf("seed %d: %s is not used", seed, target.ID))
+		}
+	}
+}
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -81,7 +81,7 @@
 	relayedBy string // name of the peer that serves the current attempt, empty for none
 	// relayAttempts is the number of attempts that this peer may make.
 	relayAttempts int
-	relays    int    // peers to which the request was sent
+	relays        int // peers to which the request was sent
 	// otherVersionPeers are the names of peers whose configuration does not allow the request.
 	otherVersionPeers []string
 
@@ -348,7 +348,7 @@
 		placed.target.removeLoad(c.now, placed.load)
 		c.outbox.pending.EndedLoads = append(c.outbox.pending.EndedLoads, placed.load.Key)
 		c.outbox.recordChange(placed.load.Key, placed.target)
-		if placed.target.gone && len(placed.target.loads) == 0 {
+		if placed.target.gone && !placed.target.replaced && len(placed.target.loads) == 0 {
 			c.deleteTarget(placed.target)
 		}
 	}
--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -65,6 +65,7 @@
 	limit       *targetLimit // nil while it names none
 	quiet       *targetQuiet // nil unless it wants quiet, or did until limitRampTime ago
 	gone        bool         // no longer listed
+	replaced    bool         // gone, since a later entry names its address
 	leaving     bool         // gets nothing new
 	leavingBy   leavingSource
 	loads       []*trackedLoad
--- a/internal/fleet/target_leaving_test.go
+++ b/internal/fleet/target_leaving_test.go
@@ -232,7 +232,7 @@
 	h.step(StoreRestored{})
 	copied := left
 	copied.Outdated = true
-	h.step(TargetList{[]Target{copied, h.core.targets["pool-01"].Target}})
+	h.step(TargetList{Targets: []Target{copied, h.core.targets["pool-01"].Target}})
 	mustStayOut()
 	h.advance(3 * time.Second)
 	h.listTarget("pool", 0, "a")
--- a/internal/fleetnode/mirror.go
+++ b/internal/fleetnode/mirror.go
@@ -130,13 +130,15 @@
 	if !m.advanceEra(position.Era, position.Revision) {
 		return false
 	}
-	var targets []fleet.Target
+	var list fleet.TargetList
 	listed := make(map[string]follow.Item)
 	for _, item := range items {
 		if strings.HasPrefix(item.Key, m.decoder.TargetsPrefix) {
 			listed[item.Key] = item
 			if t, ok := m.decodeTarget(item); ok {
-				targets = append(targets, t)
+				list.Targets = append(list.Targets, t)
+			} else {
+				list.Unreadable = append(list.Unreadable, m.decoder.TargetID(item.Key))
 			}
 			continue
 		}
@@ -146,8 +148,8 @@
 	m.targets = listed
 	m.advancePositionLocked(position)
 	m.mu.Unlock()
-	slices.SortFunc(targets, func(a, b fleet.Target) int { return strings.Compare(a.ID, b.ID) })
-	m.node.Step(fleet.TargetList{Targets: targets})
+	slices.SortFunc(list.Targets, func(a, b fleet.Target) int { return strings.Compare(a.ID, b.ID) })
+	m.node.Step(list)
 	return true
 }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -184,7 +184,9 @@
 	case isPeerError(send, resp.Header, metadata.Signed):
 		return readPeerError(c, resp), resp
 	case resp.StatusCode == http.StatusMisdirectedRequest:
-		return fleet.AttemptEnd{Outcome: fleet.OutcomeMisdirected, Status: resp.StatusCode, FailedAddress: metadata.FailedAddress}, resp
+		return fleet.AttemptEnd{
+			Outcome: fleet.OutcomeMisdirected, Status: resp.StatusCode, FailedAddress: metadata.FailedAddress, AnsweredBy: metadata.TargetID,
+		}, resp
 	case metadata.NotRun:
 		// A failure to read the body only rules out reuse of the connection.
 		resp.Close = resp.Close || discardBody(c, resp, maxDiscardedBytes) != nil
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -43,9 +43,11 @@
 	// FailedAddress is the address of the target that caused the failure, empty if
 	// none is named.
 	FailedAddress string
-	Limit         fleet.Limit
-	Leaving       fleet.Leaving
-	Quiet         fleet.QuietRequest
+	// TargetID is the id of the target that answers, empty if the response does not say.
+	TargetID string
+	Limit    fleet.Limit
+	Leaving  fleet.Leaving
+	Quiet    fleet.QuietRequest
 }
 
 // HeaderCodec reads and writes the platform's HTTP headers.
