fleet: answers 421 by version of the weights concern their request alone

Cause: every 421 was taken for another target at the address. The answer's id tells the two reasons apart. Requests are placed where their version is listed or unknown and refused at once, with no-weights and a Retry-After, where no target may have it.

--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -107,6 +107,8 @@
 		c.handleNotConnected(a)
 	case OutcomeNotRun, OutcomeMisdirected:
 		c.handleNotRun(a, ev)
+	case OutcomeOtherWeights:
+		c.handleOtherWeights(a, ev)
 	case OutcomeBroken:
 		c.handleBroken(a)
 	case OutcomeWithheld:
@@ -166,6 +168,18 @@
 	c.retryOrFail(a, "not-connected")
 }
 
+// targetAtFault returns the target, or the helper, that the end of the current attempt names.
+func (a *activeRequest) targetAtFault(ev AttemptEnd) *targetState {
+	if ev.FailedAddress != "" && ev.FailedAddress != a.target.Address {
+		for _, placed := range a.loads {
+			if placed.target.Address == ev.FailedAddress {
+				return placed.target
+			}
+		}
+	}
+	return a.target
+}
+
 // handleNotRun retries the request after the target answered that it did not run
 // it. The failedTarget is the helper that the answer names, or else the target itself: it
 // is marked as gone if another target has its address now; otherwise the failure
@@ -173,14 +187,7 @@
 // failure domain failed, a cut may lie between the two, and the request is placed in the
 // own domain only.
 func (c *Core) handleNotRun(a *activeRequest, ev AttemptEnd) {
-	failedTarget := a.target
-	if ev.FailedAddress != "" && ev.FailedAddress != a.target.Address {
-		for _, placed := range a.loads {
-			if placed.target.Address == ev.FailedAddress {
-				failedTarget = placed.target
-			}
-		}
-	}
+	failedTarget := a.targetAtFault(ev)
 	a.triedTargets = append(a.triedTargets, failedTarget.ID)
 	if failedTarget.FailureDomain != a.target.FailureDomain {
 		a.ownDomainOnly = true
--- a/internal/fleet/event.go
+++ b/internal/fleet/event.go
@@ -47,6 +47,8 @@
 	// Outdated says that the platform's store has this entry from the copy that it was
 	// restored from: the target may have left since.
 	Outdated bool
+	// WeightsVersion is the version of the weights of its models, empty if it is not known.
+	WeightsVersion string
 	// Listed is the position of the entry by which the platform's store named this
 	// incarnation first, as far as it is known.
 	Listed StorePosition
@@ -92,6 +94,8 @@
 	Fingerprint uint64
 	// SharedParts identify the parts of the prompt that other requests may share.
 	SharedParts []uint64
+	// WeightsVersion is the version of the weights that the caller expects, empty for any.
+	WeightsVersion string
 	// Relayed says that a peer that reaches no target has sent the request in place of its
 	// caller. AttemptsLeft is the number of attempts that may then run at targets.
 	Relayed      bool
@@ -155,6 +159,9 @@
 	OutcomeNotRun
 	// OutcomeMisdirected means that the address now belongs to another target.
 	OutcomeMisdirected
+	// OutcomeOtherWeights means that the target's weights have not the version that the
+	// request expects.
+	OutcomeOtherWeights
 	// OutcomeBroken means that the connection failed after the request was sent.
 	OutcomeBroken
 	// OutcomeCallerGone means that the caller's connection failed during the attempt.
@@ -163,13 +170,13 @@
 	OutcomeWithheld
 )
 
-var outcomeNames = [...]string{"complete", "failed", "not-connected", "not-run", "misdirected", "broken", "caller-gone", "withheld"}
+var outcomeNames = [...]string{"complete", "failed", "not-connected", "not-run", "misdirected", "other-weights", "broken", "caller-gone", "withheld"}
 
 func (o AttemptOutcome) String() string { return outcomeNames[o] }
 
 // isAnswer reports whether the target itself has answered.
 func (o AttemptOutcome) isAnswer() bool {
-	return o == OutcomeComplete || o == OutcomeFailed || o == OutcomeNotRun
+	return o == OutcomeComplete || o == OutcomeFailed || o == OutcomeNotRun || o == OutcomeOtherWeights
 }
 
 // AttemptEnd reports how an attempt ended.
@@ -183,6 +190,8 @@
 	FailedAddress string
 	// AnsweredBy is the id of the target that has answered, if the answer names it.
 	AnsweredBy string
+	// WeightsVersion is the version of that target's weights, if the answer names it.
+	WeightsVersion string
 	// EndedByClose says that a complete answer had no length and ended with its
 	// connection, as it also does when its target ends.
 	EndedByClose bool
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -90,6 +90,7 @@
 		return
 	}
 	known.Slots = t.Slots
+	known.updateWeights(t.WeightsVersion)
 	if t.Listed.Era > known.Listed.Era {
 		known.Listed = t.Listed
 	}
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -114,7 +114,7 @@
 	case OutcomeNotConnected:
 		c.avoidRelay(name, a.service)
 		c.dispatch(a)
-	case OutcomeNotRun, OutcomeMisdirected:
+	case OutcomeNotRun, OutcomeMisdirected, OutcomeOtherWeights:
 		switch {
 		case isRefusalByVersion(ev.Refusal):
 			a.otherVersionPeers = append(a.otherVersionPeers, name)
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -174,6 +174,10 @@
 		c.refuseOrFail(a, result.NoTarget, noTargetRetryAfter)
 		return
 	}
+	if c.lacksWeights(a) {
+		c.refuseOrFail(a, result.NoWeights, noWeightsRetryAfter)
+		return
+	}
 	p := c.choosePlacement(a)
 	switch {
 	case p.primary == nil && (c.canWaitForRoom(a) || c.canWaitForQuiet(a)):
--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -62,17 +62,19 @@
 // targetState is what this instance knows of a target.
 type targetState struct {
 	Target
-	limit       *targetLimit // nil while it names none
-	quiet       *targetQuiet // nil unless it wants quiet, or did until limitRampTime ago
-	gone        bool         // no longer listed
-	replaced    bool         // gone, since a later entry names its address
-	leaving     bool         // gets nothing new
-	leavingBy   leavingSource
-	loads       []*trackedLoad
-	advancedAt  time.Duration // time up to which prefill progress is predicted
-	lastHeardAt time.Duration // when it last sent anything, here or to a peer
-	heardHereAt time.Duration // when it last sent anything here
-	health      health
+	// lackedWeights are versions of weights that the target has denied to have, with the time.
+	lackedWeights map[string]time.Duration
+	limit         *targetLimit // nil while it names none
+	quiet         *targetQuiet // nil unless it wants quiet, or did until limitRampTime ago
+	gone          bool         // no longer listed
+	replaced      bool         // gone, since a later entry names its address
+	leaving       bool         // gets nothing new
+	leavingBy     leavingSource
+	loads         []*trackedLoad
+	advancedAt    time.Duration // time up to which prefill progress is predicted
+	lastHeardAt   time.Duration // when it last sent anything, here or to a peer
+	heardHereAt   time.Duration // when it last sent anything here
+	health        health
 	// silenceCountedAt is when its silence was counted as a failure, zero since it was heard.
 	silenceCountedAt time.Duration
 	// nextUnreadableQuietLog is when an unreadable QuietRequest is logged again.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -184,9 +184,7 @@
 	case isPeerError(send, resp.Header, metadata.Signed):
 		return readPeerError(c, resp), resp
 	case resp.StatusCode == http.StatusMisdirectedRequest:
-		return fleet.AttemptEnd{
-			Outcome: fleet.OutcomeMisdirected, Status: resp.StatusCode, FailedAddress: metadata.FailedAddress, AnsweredBy: metadata.TargetID,
-		}, resp
+		return x.misdirectedAttempt(send, metadata), resp
 	case metadata.NotRun:
 		// A failure to read the body only rules out reuse of the connection.
 		resp.Close = resp.Close || discardBody(c, resp, maxDiscardedBytes) != nil
@@ -205,6 +203,26 @@
 	return x.bufferResponse(resp, metadata), resp
 }
 
+// misdirectedAttempt returns the end of an attempt that was answered with status 421. A target
+// that answers under its own id lacks the weights that the request expects, if it expects
+// any. Without an id, or about a helper, the answer to such a request proves no other target
+// at the address.
+func (x *exchange) misdirectedAttempt(send fleet.Send, metadata ResponseMetadata) fleet.AttemptEnd {
+	end := fleet.AttemptEnd{
+		Outcome: fleet.OutcomeMisdirected, Status: http.StatusMisdirectedRequest, FailedAddress: metadata.FailedAddress,
+		AnsweredBy: metadata.TargetID, WeightsVersion: metadata.WeightsVersion,
+	}
+	ofHelper := metadata.FailedAddress != "" && metadata.FailedAddress != send.Target.Address
+	isItself := !ofHelper && metadata.TargetID == send.Target.ID
+	switch {
+	case x.metadata.WeightsVersion != "" && (isItself || ofHelper || metadata.TargetID == ""):
+		end.Outcome = fleet.OutcomeOtherWeights
+	case isItself:
+		end.Outcome = fleet.OutcomeNotRun
+	}
+	return end
+}
+
 func isEventStream(h http.Header) bool {
 	kind, _, err := mime.ParseMediaType(h.Get("Content-Type"))
 	return err == nil && kind == "text/event-stream"
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -30,6 +30,8 @@
 	PromptTokens, MaxAnswerTokens int
 	// SharedParts identify the parts of the prompt that other requests may share.
 	SharedParts []uint64
+	// WeightsVersion is the version of the weights that the caller expects, empty for any.
+	WeightsVersion string
 }
 
 // ResponseMetadata is the metadata in the headers of a target's response.
@@ -45,9 +47,12 @@
 	FailedAddress string
 	// TargetID is the id of the target that answers, empty if the response does not say.
 	TargetID string
-	Limit    fleet.Limit
-	Leaving  fleet.Leaving
-	Quiet    fleet.QuietRequest
+	// WeightsVersion is the version of that target's weights, empty if the response does
+	// not say.
+	WeightsVersion string
+	Limit          fleet.Limit
+	Leaving        fleet.Leaving
+	Quiet          fleet.QuietRequest
 }
 
 // HeaderCodec reads and writes the platform's HTTP headers.
--- a/internal/forward/leaving.go
+++ b/internal/forward/leaving.go
@@ -22,7 +22,7 @@
 // isFromAnotherTarget reports whether the address of a connection's target belongs to
 // another one now, and not that of a helper that the target was sent to.
 func isFromAnotherTarget(c *conn, resp *http.Response, metadata ResponseMetadata) bool {
-	return resp.StatusCode == http.StatusMisdirectedRequest && (metadata.FailedAddress == "" || metadata.FailedAddress == c.target.Address)
+	return resp.StatusCode == http.StatusMisdirectedRequest && metadata.TargetID != c.target.ID && (metadata.FailedAddress == "" || metadata.FailedAddress == c.target.Address)
 }
 
 // stepLeaving passes what an answer says of its target's leaving to the decision core.
--- a/internal/result/codes.go
+++ b/internal/result/codes.go
@@ -29,6 +29,7 @@
 	TargetsRefused    Code = 2021
 	RetryBudget       Code = 2022
 	GroupUnavailable  Code = 2023
+	NoWeights         Code = 2024
 	Quarantined       Code = 2030
 	StoreUnavailable  Code = 2040
 	ClaimLost         Code = 2041
@@ -96,6 +97,7 @@
 	TargetsRefused:    {"targets-refused", http.StatusServiceUnavailable, "Each target tried said that it did not run the request."},
 	RetryBudget:       {"retry-budget", http.StatusServiceUnavailable, "The request did not run and the retry budget is used up."},
 	GroupUnavailable:  {"group-unavailable", http.StatusServiceUnavailable, "No group of engines has the memory for the prompt in time."},
+	NoWeights:         {"no-weights", http.StatusServiceUnavailable, "No target has the version of the weights that the request expects."},
 	Quarantined:       {"quarantined", http.StatusUnprocessableEntity, "Earlier runs of this very request ended targets; it is not run again for a while."},
 	StoreUnavailable:  {"store-unavailable", http.StatusServiceUnavailable, "The claim could not be written: the platform's store is unavailable."},
 	ClaimLost:         {"claim-lost", http.StatusServiceUnavailable, "Another instance owns the claim record now; nothing was sent."},
