--- a/internal/fleetnode/old_builds_test.go
+++ b/internal/fleetnode/old_builds_test.go
@@ -22,6 +22,7 @@
 
 	"github.com/medlardeck/medlardeck/internal/fleet"
 	"github.com/medlardeck/medlardeck/internal/follow"
+	"github.com/medlardeck/medlardeck/internal/standin/ports"
 )
 
 // recordedMessage returns a message of an older build.
@@ -200,10 +201,9 @@
 
 func freeTestPort(t *testing.T, host string) int {
 	t.Helper()
-	listener, err := net.Listen("tcp4", net.JoinHostPort(host, "0"))
+	port, err := ports.Take(host, 1)
 	must.NoError(t, err)
-	defer func() { must.NoError(t, listener.Close()) }()
-	return listener.Addr().(*net.TCPAddr).Port
+	return port
 }
 
 const testInstanceIP = "127.0.3.1"
