fleetnode: the exchange with peers goes on after a failed accept

It is tried again after 100 ms now, until the listener is closed.

Failed before: TestExchangeGoesOnAfterAFailedAccept ("the exchange does not answer").

--- a/internal/fleetnode/exchange.go
+++ b/internal/fleetnode/exchange.go
@@ -1,6 +1,7 @@
 package fleetnode
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -87,14 +88,23 @@
 	return &snapshotExchanger{mirror: m, followsStore: followsStore, log: log, port: s.ExchangePort, listener: listener}, nil
 }
 
+// acceptRetryDelay is the time after a failed accept, such as one without a free
+// descriptor, until the next.
+const acceptRetryDelay = 100 * time.Millisecond
+
 // acceptPeers serves peers until the listener is closed.
 func acceptPeers(server *rpc.Server, listener net.Listener, log logr.Logger) {
 	for {
 		conn, err := listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			log.Info("peer-exchange-closed", "cause", err.Error())
 			return
 		}
+		if err != nil {
+			log.Info("peer-accept-failed", "cause", err.Error())
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
 		// A peer sends one request and closes the connection. The deadline
 		// disconnects a peer that sends nothing.
 		if err := conn.SetDeadline(time.Now().Add(2 * exchangeTimeout)); err != nil {
--- a/internal/fleetnode/exchange_test.go
+++ b/internal/fleetnode/exchange_test.go
@@ -1,7 +1,10 @@
 package fleetnode
 
 import (
+	"net"
 	"net/netip"
+	"net/rpc"
+	"syscall"
 	"testing"
 	"time"
 
@@ -132,3 +135,42 @@
 	m.HandleList(nil, follow.Position{Era: 2, Revision: 30})
 	must.Eq(t, named, m.inKnownEra(named))
 }
+
+// failingListener fails to accept a number of times.
+type failingListener struct {
+	net.Listener
+	failures int
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// One accept without a free descriptor ended the exchange with peers for good.
+func TestExchangeGoesOnAfterAFailedAccept(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := rpc.NewServer()
+	must.NoError(t, server.Register(&Exchange{newMirror(Decoder{}, nil, logr.Discard())}))
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		acceptPeers(server, &failingListener{listener, 2}, logr.Discard())
+	}()
+	client, err := rpc.Dial("tcp4", listener.Addr().String())
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = client.Close() })
+	call := client.Go("Exchange.Newer", KnownVersions{}, &Snapshot{}, nil)
+	select {
+	case <-call.Done:
+		must.NoError(t, call.Error)
+	case <-time.After(3 * time.Second):
+		t.Fatal("the exchange does not answer")
+	}
+	must.NoError(t, listener.Close())
+	<-ended
+}
