fleet: a prompt keeps away from targets that denied its reservation

A target may hold memory that this instance does not know of, such as that of its former process. After a denial, a prompt that needs several targets was placed at the same ones each 150 ms until that memory had expired, up to the hold time.

A denial counts for half a second for reservations of that size or a larger one, and is forgotten when a load ends at the target.

Failed before: TestPromptKeepsAwayFromTargetsThatDeniedMemory (placed at pool-01 again). TestDeniedMemoryIsAskedForAgain shows both ends of a denial.

--- a/internal/fleet/placement.go
+++ b/internal/fleet/placement.go
@@ -328,7 +328,8 @@
 	var options []helperOption
 	for i := range input.candidates {
 		cand := &input.candidates[i]
-		if cand.limit != nil || cand.quiet != nil || cand.state.helperParts >= cand.Slots || !cand.hasRoom(input.engine, partPrefill, memory) {
+		if cand.limit != nil || cand.quiet != nil || cand.state.helperParts >= cand.Slots || !cand.hasRoom(input.engine, partPrefill, memory) ||
+			memory > 0 && cand.denial.covers(c.now, memory) {
 			continue
 		}
 		harm := c.pauseHarm(input.engine, cand, partPrefill, true, 0) + delayHarm([]*candidate{cand}, partPrefill.remainingMS)
--- a/internal/fleet/reserve.go
+++ b/internal/fleet/reserve.go
@@ -16,8 +16,23 @@
 	// reserveRetryDelay is the delay before the request is placed again after a
 	// target denied a reservation.
 	reserveRetryDelay = 150 * time.Millisecond
+	// memoryDenialTime is how long a target that denied a reservation gets none of the same
+	// size or a larger one, unless a load ends there before.
+	memoryDenialTime = 500 * time.Millisecond
 )
 
+// memoryDenial is the last denial of a reservation by a target: it holds memory for others
+// that this instance does not know of, such as a former process.
+type memoryDenial struct {
+	tokens int
+	until  time.Duration
+}
+
+// covers reports whether a reservation is likely to be denied again.
+func (d memoryDenial) covers(now time.Duration, tokens int) bool {
+	return now < d.until && tokens >= d.tokens
+}
+
 // reservation is the memory reserved at the helpers for the parts of a prompt that
 // does not fit into the memory of one engine.
 type reservation struct {
@@ -81,6 +96,9 @@
 	if !ev.Granted {
 		res.denied = true
 		c.log("reserve-denied", "request", a.arrival.ID, "target", ev.Target, "cause", ev.Cause)
+		if target := c.targets[ev.Target]; target != nil {
+			target.denial = memoryDenial{c.ticketTokens(a, res), c.now + memoryDenialTime}
+		}
 	}
 	if len(res.replied) < len(res.tickets) {
 		return
--- a/internal/fleet/target.go
+++ b/internal/fleet/target.go
@@ -64,6 +64,7 @@
 	Target
 	// lackedWeights are versions of weights that the target has denied to have, with the time.
 	lackedWeights map[string]time.Duration
+	denial        memoryDenial
 	limit         *targetLimit // nil while it names none
 	quiet         *targetQuiet // nil unless it wants quiet, or did until limitRampTime ago
 	gone          bool         // no longer listed
@@ -107,6 +108,7 @@
 // removeLoad removes a load that has ended.
 func (t *targetState) removeLoad(now time.Duration, tracked *trackedLoad) {
 	t.advancePrefills(now)
+	t.denial = memoryDenial{} // there is more memory now
 	t.loads = slices.DeleteFunc(t.loads, func(other *trackedLoad) bool { return other == tracked })
 }
 
