--- a/internal/membership/fact.go
+++ b/internal/membership/fact.go
@@ -31,7 +31,8 @@
 	FailureDomain string `json:"failure_domain"`
 	Address       string `json:"address"`
 	// Incarnation increases with each start of an instance of this name, at the
-	// latest when the new process hears of the former one; zero means that the instance is known from the platform's list only.
+	// latest when the new process hears of the former one; zero means that the
+	// instance is known from the platform's list only.
 	Incarnation uint64 `json:"incarnation"`
 	// Beat counts the heartbeats of this incarnation.
 	Beat    uint64 `json:"beat"`
