--- a/review/probe2/main.go
+++ b/review/probe2/main.go
@@ -21,10 +21,11 @@
 // cases are the cases by the number of their folder. Each reports whether the rule was broken.
 // Without trouble it does the same without the disruption.
 var cases = map[string]func(rec *record, trouble bool) (broken bool, err error){
-	"6": rollingStops,
-	"7": foreignEntry,
-	"8": movedStore,
-	"9": negativeSlots,
+	"6":  rollingStops,
+	"7":  foreignEntry,
+	"8":  largeEntries,
+	"9":  movedStore,
+	"10": negativeSlots,
 }
 
 func main() {
--- a/review/probe2/moved_store.go
+++ b/review/probe2/moved_store.go
@@ -45,6 +45,15 @@
 		rec.add("SIGHUP", "", "store_was", former, "store_is", f.store.address)
 	}
 	time.Sleep(2 * stableWindow)
+	stale := withdrawKey(rec, f, i, r)
+	rec.add("result", "", "run_with_withdrawn_key", stale)
+	return stale > 0, nil
+}
+
+// withdrawKey writes a version of the configuration that withdraws a key, goes on with requests
+// with that key, and returns how many run that were sent later than configDelay after the
+// acknowledgement.
+func withdrawKey(rec *record, f *fleet, i *instance, r *runner) int {
 	f.store.put("op/config", newConfig(8, lastingKey))
 	acknowledgedAt := time.Now()
 	rec.add("acknowledged", "", "version", 8, "withdrawn", withdrawnKey)
@@ -68,6 +77,5 @@
 		time.Sleep(250 * time.Millisecond)
 	}
 	wg.Wait()
-	rec.add("result", "", "run_with_withdrawn_key", stale)
-	return stale > 0, nil
+	return stale
 }
--- a/review/probe2/negative_slots.go
+++ b/review/probe2/negative_slots.go
@@ -9,10 +9,12 @@
 )
 
 const (
-	slotsPlayed  = 30 * time.Second
-	slotsAt      = 10 * time.Second // when the first foreign entry is written
-	keptClients  = 12
-	restartDelay = 300 * time.Millisecond
+	slotsPlayed = 30 * time.Second
+	slotsAt     = 10 * time.Second // when the first foreign entry is written
+	// slotsInterval is the time between two foreign entries.
+	slotsInterval = 2 * time.Second
+	keptClients   = 12
+	restartDelay  = 300 * time.Millisecond
 	// lostLimit is the number of lost requests that the rule allows.
 	lostLimit = 3
 )
@@ -29,8 +31,8 @@
 	ends int // of the process, by itself
 }
 
-// negativeSlots plays traffic, most of it on kept connections, while another writer adds entries
-// whose slot counts are no counts. It looks for requests on kept connections that have been passed
+// negativeSlots plays traffic, most of it on kept connections, while another writer has an
+// entry whose slot count is no count. It looks for requests on kept connections that have been passed
 // on to a sound runner and end without an answer. The process is started again when it ends.
 func negativeSlots(rec *record, trouble bool) (bool, error) {
 	f, err := newFleet(1)
@@ -63,7 +65,7 @@
 		}()
 	}
 	for _, k := range []kind{specs, dossiers} {
-		k.play(4, s.end, &wg, func(q *request) { q.send(rec, s.instance.front) })
+		k.play(5, s.end, &wg, func(q *request) { q.send(rec, s.instance.front) })
 	}
 	if trouble {
 		time.AfterFunc(slotsAt, func() { s.writeForeign(f.store) })
@@ -74,13 +76,15 @@
 	return s.lost > lostLimit, nil
 }
 
-// writeForeign adds entries as another writer does, one each foreignInterval.
+// writeForeign writes an entry as another writer does, again and again as that of a new start.
 func (s *slotsRun) writeForeign(st *store) {
-	for n := 1; time.Now().Before(s.end.Add(-foreignInterval)); n++ {
-		key := fmt.Sprintf("servers/x-%d", n)
-		s.rec.add("foreign-entry", "", "key", key, "slots", -33)
-		st.put(key, map[string]any{"service": "pool", "addr": "127.0.60.9:9", "zone": "a", "version": "v1", "slots": -33, "state": "ready", "cold-left-ms": 0, "seq": 1})
-		time.Sleep(foreignInterval)
+	for seq := 1; time.Now().Before(s.end); seq++ {
+		s.rec.add("foreign-entry", "", "key", "servers/x-1", "slots", -33)
+		st.put("servers/x-1", map[string]any{
+			"service": "pool", "addr": "127.0.60.9:9", "zone": "a", "version": "v1", "slots": -33, "state": "ready", "cold-left-ms": 0,
+			"seq": seq, "born": time.Now().UnixMilli(),
+		})
+		time.Sleep(slotsInterval)
 	}
 }
 
--- a/review/probe2/store.go
+++ b/review/probe2/store.go
@@ -32,7 +32,7 @@
 	history  []item
 	revision uint64
 	leases   uint64
-	changed  chan struct{}
+	changed  chan struct{} // closed at the next change
 }
 
 func newStore() (*store, error) {
@@ -119,6 +119,12 @@
 	}{i, s.revision})
 }
 
+// Bounds of one page of a range.
+const (
+	pageItems = 500
+	pageBytes = 1 << 20
+)
+
 func (s *store) serveRange(w http.ResponseWriter, r *http.Request) {
 	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
 	s.mu.Lock()
@@ -130,7 +136,12 @@
 		}
 	}
 	slices.SortFunc(items, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
-	writeJSON(w, map[string]any{"items": items, "has-more": false, "as-of": s.revision})
+	count, bytes := 0, 0
+	for count < min(len(items), pageItems) && (count == 0 || bytes+len(items[count].Value) <= pageBytes) {
+		bytes += len(items[count].Value)
+		count++
+	}
+	writeJSON(w, map[string]any{"items": items[:count], "has-more": count < len(items), "as-of": s.revision})
 }
 
 func (s *store) serveWatch(w http.ResponseWriter, r *http.Request) {
