Known red: the cases of the second review; case 6 with heavier dossiers

It has three again, and dossiers at 2.8 times the rate of the sheet, the largest burst of the site being 2.9.

--- a/review/probe2/rolling_stop.go
+++ b/review/probe2/rolling_stop.go
@@ -15,11 +15,12 @@
 	lateAfter = 3 * time.Second
 	// stopGap is the time between the SIGTERMs of two instances.
 	stopGap = 1200 * time.Millisecond
-	// stopFactor is the traffic in multiples of that of the sheet.
-	stopFactor = 2
+	// stopFactor and stopDossierFactor are the traffic in multiples of that of the sheet.
+	stopFactor        = 2.0
+	stopDossierFactor = 2.8
 	// stopPlayed is how long traffic is played.
 	stopPlayed  = 88 * time.Second
-	engineCount = 5
+	engineCount = 3
 )
 
 // stops is a run of rollingStops.
@@ -61,9 +62,9 @@
 	}
 	s.balancer, s.end = newBalancer(f.instances), time.Now().Add(stopPlayed)
 	var wg sync.WaitGroup
-	for _, k := range []kind{drafts, specs, dossiers} {
-		k.play(stopFactor*engineCount, s.end, &wg, s.send)
-	}
+	drafts.play(stopFactor*engineCount, s.end, &wg, s.send)
+	specs.play(stopFactor*engineCount, s.end, &wg, s.send)
+	dossiers.play(stopDossierFactor*engineCount, s.end, &wg, s.send)
 	if trouble {
 		wg.Add(1)
 		go func() {
