--- a/review/probe2/client.go
+++ b/review/probe2/client.go
@@ -24,11 +24,11 @@
 // text returns the request as it is sent.
 func (q *request) text() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: h.example\r\nMedlardeck-Request-Id: %s\r\nMedlardeck-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\n",
-		q.method, q.path, q.id, q.deadline.Milliseconds(), q.key)
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer %s\r\n", q.method, q.path, q.key)
+	fmt.Fprintf(&b, "%s: %s\r\n%s: %d\r\n", names["headerRequestId"], q.id, names["headerDeadlineMs"], q.deadline.Milliseconds())
 	if q.promptTokens > 0 {
-		fmt.Fprintf(&b, "Medlardeck-Model: m\r\nMedlardeck-Token-Count: %d,%d\r\nMedlardeck-Prefix-Hash: 5c1e07a2:40,%x:%d\r\n",
-			q.promptTokens, q.answerTokens, 0x91bd3f06+q.promptTokens, q.promptTokens-40)
+		fmt.Fprintf(&b, "%s: m\r\n%s: %d,%d\r\n", names["headerModel"], names["headerTokenCount"], q.promptTokens, q.answerTokens)
+		fmt.Fprintf(&b, "%s: 5c1e07a2:40,%x:%d\r\n", names["headerPrefixHash"], 0x91bd3f06+q.promptTokens, q.promptTokens-40)
 	}
 	if q.method == http.MethodPost {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(q.body))
--- a/review/probe2/config.go
+++ b/review/probe2/config.go
@@ -18,28 +18,28 @@
 		},
 		"services": []any{
 			map[string]any{"name": "pool", "health-path": "/health", "max-conns": 424, "protocol": "h1", "tls": false, "engine": map[string]any{
-				"slots": engineSlots, "kv-tokens": engineMemory, "kv-token-bytes": 327680, "link-mbps": 400000.0, "stride": engineStride,
+				"slots": engineSlots, names["kvTokens"]: engineMemory, "kv-token-bytes": 327680, "link-mbps": 400000.0, "stride": engineStride,
 				"models": []any{map[string]any{"name": "m"}}, "step_ms": stepMS, "per_seq_ms": perSeqMS, "context_per_k": contextPerKMS,
-				"read_per_s": 1000 * readPerMS, "pairs_per_m": pairsPerMMS, "chunk": engineChunk, "report_lag_ms": 200.0, "loads-per-s": 0.0,
+				names["readPerS"]: 1000 * readPerMS, "pairs_per_m": pairsPerMMS, "chunk": engineChunk, "report_lag_ms": 200.0, "loads-per-s": 0.0,
 				"loads_at_once": 8, "delays": []any{}, "usual": map[string]any{"prompt": 12328, "answer": 1303}, "hop-ms": 0.075,
 			}},
 			map[string]any{"name": "app", "health-path": "/health", "max-conns": 100, "protocol": "h1", "tls": false},
 		},
 		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-		"tenants": []any{map[string]any{"name": "hule930", "api-keys": keys, "priority": 1}},
+		"tenants": []any{map[string]any{"name": "hule930", names["apiKeys"]: keys, "priority": 1}},
 	}
 }
 
 func newRoute(name, prefix, kind, service string, timeoutMS, latencyMS, gapMS int) map[string]any {
 	route := map[string]any{
-		"name": name, "host": "h.example", "prefix": prefix, "kind": kind, "timeout-ms": timeoutMS, "target-latency-ms": latencyMS,
-		"priority": 1, "service": service, "max-attempts": 2, "no-auth": false,
+		"name": name, "host": "h.example", "prefix": prefix, "kind": kind, "timeout-ms": timeoutMS, names["targetLatencyMs"]: latencyMS,
+		"priority": 1, "service": service, names["maxAttempts"]: 2, "no-auth": false,
 	}
 	if kind == "non_idempotent" {
-		route["max-attempts"] = 1
+		route[names["maxAttempts"]] = 1
 	}
 	if kind == "stream" {
-		route["sticky"], route["resumable"], route["gap-target-ms"] = true, true, gapMS
+		route["sticky"], route["resumable"], route[names["gapTargetMs"]] = true, true, gapMS
 	}
 	return route
 }
--- a/review/probe2/engine.go
+++ b/review/probe2/engine.go
@@ -173,23 +173,23 @@
 
 // serve answers a request with a stream. It is a runner's serve function.
 func (e *engine) serve(w http.ResponseWriter, r *http.Request) {
-	prompt, longest, _ := strings.Cut(r.Header.Get("Medlardeck-Token-Count"), ",")
+	prompt, longest, _ := strings.Cut(r.Header.Get(names["headerTokenCount"]), ",")
 	promptTokens, _ := strconv.Atoi(prompt)  // the client's header, which this program writes
 	answerTokens, _ := strconv.Atoi(longest) // likewise
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	j := &job{toRead: promptTokens, context: promptTokens, answer: answerTokens, events: make(chan int, 1024), left: r.Context().Done()}
-	j.split(r.Header.Get("Medlardeck-Helpers"))
+	j.split(r.Header.Get(names["headerHelpers"]))
 	e.add(j)
 	w.Header().Set("Content-Type", "text/event-stream")
 	rc := http.NewResponseController(w)
 	for {
 		select {
 		case <-r.Context().Done():
-			e.ended(r.Header.Get("Medlardeck-Request-Id"), false)
+			e.ended(r.Header.Get(names["headerRequestId"]), false)
 			return
 		case n, ok := <-j.events:
 			if !ok {
-				e.ended(r.Header.Get("Medlardeck-Request-Id"), true)
+				e.ended(r.Header.Get(names["headerRequestId"]), true)
 				return
 			}
 			if n > first {
--- a/review/probe2/foreign_entry.go
+++ b/review/probe2/foreign_entry.go
@@ -21,7 +21,7 @@
 		return false, err
 	}
 	defer f.close()
-	f.store.put("op/config", newConfig(7, lastingKey))
+	f.store.put(names["keyConfig"], newConfig(7, lastingKey))
 	e := newEngine(func(string, bool) {})
 	other, err := newRunner(f, rec, "i-pool-0", "pool", engineSlots, e.serve)
 	if err != nil {
@@ -50,8 +50,8 @@
 	})
 	for trouble && time.Now().Before(end) {
 		time.Sleep(foreignInterval)
-		rec.add("foreign-entry", "", "key", "servers/"+other.id)
-		f.store.put("servers/"+other.id, map[string]any{"service": "app", "addr": other.address, "zone": "a", "slots": 6, "state": "ready"})
+		rec.add("foreign-entry", "", "key", names["keyRunners"]+other.id)
+		f.store.put(names["keyRunners"]+other.id, map[string]any{"service": "app", "addr": other.address, "zone": "a", "slots": 6, "state": "ready"})
 	}
 	wg.Wait()
 	rec.add("result", "", "run_by_other_service", wrong)
--- a/review/probe2/large_entries.go
+++ b/review/probe2/large_entries.go
@@ -21,7 +21,7 @@
 	}
 	defer f.close()
 	i := f.instances[0]
-	f.store.put("op/config", newConfig(7, lastingKey, withdrawnKey))
+	f.store.put(names["keyConfig"], newConfig(7, lastingKey, withdrawnKey))
 	r, err := newRunner(f, rec, "i-app-0", "app", 6, servePlain)
 	if err != nil {
 		return false, err
@@ -33,7 +33,7 @@
 	for n := 0; trouble && n < largeEntryCount; n++ {
 		value := make([]byte, largeEntryBytes)
 		_, _ = rand.Read(value) // it never fails
-		key := fmt.Sprintf("servers/y-%02d", n)
+		key := names["keyRunners"] + fmt.Sprintf("y-%02d", n)
 		f.store.put(key, value)
 		rec.add("foreign-entry", "", "key", key, "bytes", len(value))
 	}
--- a/review/probe2/moved_store.go
+++ b/review/probe2/moved_store.go
@@ -24,7 +24,7 @@
 	}
 	defer f.close()
 	i := f.instances[0]
-	f.store.put("op/config", newConfig(7, lastingKey, withdrawnKey))
+	f.store.put(names["keyConfig"], newConfig(7, lastingKey, withdrawnKey))
 	r, err := newRunner(f, rec, "i-app-0", "app", 6, servePlain)
 	if err != nil {
 		return false, err
@@ -54,7 +54,7 @@
 // with that key, and returns how many run that were sent later than configDelay after the
 // acknowledgement.
 func withdrawKey(rec *record, f *fleet, i *instance, r *runner) int {
-	f.store.put("op/config", newConfig(8, lastingKey))
+	f.store.put(names["keyConfig"], newConfig(8, lastingKey))
 	acknowledgedAt := time.Now()
 	rec.add("acknowledged", "", "version", 8, "withdrawn", withdrawnKey)
 	var mu sync.Mutex
--- a/review/probe2/negative_slots.go
+++ b/review/probe2/negative_slots.go
@@ -40,7 +40,7 @@
 		return false, err
 	}
 	defer f.close()
-	f.store.put("op/config", newConfig(7, lastingKey))
+	f.store.put(names["keyConfig"], newConfig(7, lastingKey))
 	s := &slotsRun{rec: rec, instance: f.instances[0]}
 	for n := range 2 {
 		e := newEngine(func(string, bool) {})
@@ -79,8 +79,8 @@
 // writeForeign writes an entry as another writer does, again and again as that of a new start.
 func (s *slotsRun) writeForeign(st *store) {
 	for seq := 1; time.Now().Before(s.end); seq++ {
-		s.rec.add("foreign-entry", "", "key", "servers/x-1", "slots", -33)
-		st.put("servers/x-1", map[string]any{
+		s.rec.add("foreign-entry", "", "key", names["keyRunners"]+"x-1", "slots", -33)
+		st.put(names["keyRunners"]+"x-1", map[string]any{
 			"service": "pool", "addr": "127.0.60.9:9", "zone": "a", "version": "v1", "slots": -33, "state": "ready", "cold-left-ms": 0,
 			"seq": seq, "born": time.Now().UnixMilli(),
 		})
--- a/review/probe2/process.go
+++ b/review/probe2/process.go
@@ -111,8 +111,8 @@
 	raw, err := json.Marshal(map[string]any{
 		"node": i.name, "role": "entry", "class": "front", "serves": []string{"front", "control"}, "ip": i.ip,
 		"zone": "a", "region": "r", "zones": map[string]string{"a": "r"},
-		"listen":     map[string]string{"front": i.front, "ready": i.ready, "control": i.control},
-		"port-range": []int{f.basePort + rangeOffset, f.basePort + portCount - 1}, "seeds": seeds, "bootstrap": true, "loss-counts": false,
+		"listen":           map[string]string{"front": i.front, "ready": i.ready, "control": i.control},
+		names["portRange"]: []int{f.basePort + rangeOffset, f.basePort + portCount - 1}, "seeds": seeds, "bootstrap": true, "loss-counts": false,
 		"limits":   map[string]any{"cpu-share": 0.608, "cores": 1, "memory-mb": 414, "max-fds": 6150, "link-mbps": 1500.0, "disk-mb": 0},
 		"data-dir": nil, "discovery": "platform", "entry": "vip", "heartbeat-ms": heartbeat.Milliseconds(),
 		"contracts": []string{"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform", "spans"},
@@ -120,7 +120,7 @@
 		"bounds": map[string]any{
 			"seed-lag-s": 3, "reuse-after-s": 2, "stable-window-ms": 3000, "ack-ms": 4000, "catchup-s": 4, "drain-ms": 2000, "grace-s": 8,
 			"lost-slack-ms": 200, "config-ms": 2000, "rollback-slack-ms": 250, "stretch-max-ms": 5000, "strict-revoke": false,
-			"revoke-ms": 5000, "retry-ratio": 0.2, "retry-window-s": 10, "retry-slack": 102, "recovery-s": 12, "pass-ms": 120,
+			"revoke-ms": 5000, "retry-ratio": 0.2, "retry-window-s": 10, names["retrySlack"]: 102, "recovery-s": 12, "pass-ms": 120,
 			"retry-after-s": 0, "stall_ms": 1500, "hold-max-ms": 20000, "free-ms": 4000, "idle-max-ms": 9000,
 		},
 		"platform": map[string]any{
--- a/review/probe2/rolling_stop.go
+++ b/review/probe2/rolling_stop.go
@@ -45,7 +45,7 @@
 		return false, err
 	}
 	defer f.close()
-	f.store.put("op/config", newConfig(7, lastingKey))
+	f.store.put(names["keyConfig"], newConfig(7, lastingKey))
 	s := &stops{fleet: f, rec: rec, stopAt: make(map[*instance]time.Time), cut: make(map[string]bool)}
 	for i := range engineCount {
 		e := newEngine(s.recordEnd)
--- a/review/probe2/runner.go
+++ b/review/probe2/runner.go
@@ -38,7 +38,7 @@
 	go func() { _ = http.Serve(listener, r) }() // until the program ends
 	go func() {
 		for seq := 1; ; seq++ {
-			f.store.put("servers/"+r.id, r.entry(seq))
+			f.store.put(names["keyRunners"]+r.id, r.entry(seq))
 			time.Sleep(heartbeat)
 		}
 	}()
@@ -54,30 +54,30 @@
 
 // ServeHTTP implements http.Handler.
 func (r *runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	id := req.Header.Get("Medlardeck-Request-Id")
-	w.Header().Set("Medlardeck-Runner-Id", r.id)
-	expected := req.Header.Get("Medlardeck-Expect-Runner")
+	id := req.Header.Get(names["headerRequestId"])
+	w.Header().Set(names["headerRunnerId"], r.id)
+	expected := req.Header.Get(names["headerExpectRunner"])
 	switch {
 	case req.URL.Path == "/health":
 		return
 	case expected != "" && expected != r.id:
-		w.Header().Set("Medlardeck-Request-Id", id)
+		w.Header().Set(names["headerRequestId"], id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	case req.URL.Path == "/order": // no memory is free for others
 		w.WriteHeader(http.StatusConflict)
 		return
 	case id == "":
-		w.Header().Set("Medlardeck-Not-Run", "1")
+		w.Header().Set(names["headerNotRun"], "1")
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	r.mu.Lock()
 	r.runs[id]++
 	r.mu.Unlock()
-	r.rec.add("run", id, "runner", r.id, "service", r.service, "tenant", req.Header.Get("Medlardeck-Tenant"))
-	w.Header().Set("Medlardeck-Request-Id", id)
-	w.Header().Set("Medlardeck-Runner-Stamp", "3e1b.07.5a2.600.0.c9f2a4d1")
+	r.rec.add("run", id, "runner", r.id, "service", r.service, "tenant", req.Header.Get(names["headerTenant"]))
+	w.Header().Set(names["headerRequestId"], id)
+	w.Header().Set(names["headerRunnerStamp"], "3e1b.07.5a2.600.0.c9f2a4d1")
 	r.serve(w, req)
 }
 
@@ -91,7 +91,7 @@
 // servePlain answers with a body of 800 bytes after 60 ms of work.
 func servePlain(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(60 * time.Millisecond)
-	body := fmt.Sprintf("%-800s", r.Header.Get("Medlardeck-Request-Id"))
+	body := fmt.Sprintf("%-800s", r.Header.Get(names["headerRequestId"]))
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	fmt.Fprint(w, body)
 }
--- a/review/probe2/store.go
+++ b/review/probe2/store.go
@@ -47,13 +47,13 @@
 		return err
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /kv-key", s.serveKey)
-	mux.HandleFunc("GET /kv-range", s.serveRange)
-	mux.HandleFunc("GET /kv-watch", s.serveWatch)
-	mux.HandleFunc("POST /kv-txn", s.serveTxn)
-	mux.HandleFunc("POST /kv-lease", s.serveLease)
-	mux.HandleFunc("POST /kv-keep/{id}", s.serveLease)
-	mux.HandleFunc("DELETE /kv-lease-end/{id}", s.serveLease)
+	mux.HandleFunc("GET "+names["callKey"], s.serveKey)
+	mux.HandleFunc("GET "+names["callRange"], s.serveRange)
+	mux.HandleFunc("GET "+names["callWatch"], s.serveWatch)
+	mux.HandleFunc("POST "+names["callTxn"], s.serveTxn)
+	mux.HandleFunc("POST "+names["callLease"], s.serveLease)
+	mux.HandleFunc("POST "+names["callKeep"]+"/{id}", s.serveLease)
+	mux.HandleFunc("DELETE "+names["callLeaseEnd"]+"/{id}", s.serveLease)
 	s.address, s.server = listener.Addr().String(), &http.Server{Handler: mux}
 	go func(server *http.Server) { _ = server.Serve(listener) }(s.server) // until it is closed
 	return nil
