Second review: the stand-ins name loopback addresses only

The address of the metrics is set by its flag, not by its text in the deploy file: with another port there the processes would have listened at all addresses.

--- a/review/probe2/process.go
+++ b/review/probe2/process.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -133,19 +134,25 @@
 	return os.WriteFile(i.settings, raw, 0o600)
 }
 
-// deployedCommand returns the words of the command in the deploy file. The port of the metrics
-// becomes a free one of the instance's own address, since all instances run on one machine.
+// deployedCommand returns the words of the command in the deploy file. The metrics get a free
+// port of the instance's own loopback address, since all instances run on one machine.
 func deployedCommand(inst *instance) ([]string, error) {
 	raw, err := os.ReadFile("deploy/system.toml")
 	if err != nil {
 		return nil, err
 	}
 	for line := range strings.Lines(string(raw)) {
-		if text, ok := strings.CutPrefix(strings.TrimSpace(line), "run = "); ok {
-			return strings.Fields(strings.Replace(strings.Trim(text, `"`), "0.0.0.0:9464", inst.ip+":0", 1)), nil
+		text, ok := strings.CutPrefix(strings.TrimSpace(line), "run = ")
+		if !ok {
+			continue
+		}
+		words := strings.Fields(strings.Trim(text, `"`))
+		if at := slices.Index(words, "-metrics-address"); at >= 0 && at+1 < len(words) {
+			words[at+1] = net.JoinHostPort(inst.ip, "0")
+			return words, nil
 		}
 	}
-	return nil, fmt.Errorf("the deploy file has no command")
+	return nil, fmt.Errorf("the deploy file has no command with an address of metrics")
 }
 
 // start starts the process and waits until it is ready.
