--- a/internal/fleetnode/exchange_test.go
+++ b/internal/fleetnode/exchange_test.go
@@ -33,7 +33,7 @@
 		TargetsPrefix: "t/", TargetID: func(key string) string { return key },
 		Target: func(key string, _ []byte) (fleet.Target, error) { return fleet.Target{ID: key}, nil },
 	}
-	m := newMirror(decoder, node, logr.Discard())
+	m := newMirror(decoder, node, noMetrics{}, logr.Discard())
 	m.onList = func() { *announced++ }
 	m.onChange = func(*targetChanges) { *announced++ }
 	m.onEra = func(uint64) {}
--- a/internal/fleetnode/mirror.go
+++ b/internal/fleetnode/mirror.go
@@ -34,6 +34,7 @@
 type mirror struct {
 	decoder Decoder
 	node    *forward.Node
+	metrics forward.Metrics
 	log     logr.Logger
 
 	// onPeerAddress is called with the address of each instance in the store.
@@ -72,8 +73,8 @@
 	restoredRevision uint64          // entries up to it are from the copy that began the era
 }
 
-func newMirror(d Decoder, node *forward.Node, log logr.Logger) *mirror {
-	return &mirror{decoder: d, node: node, log: log, targets: make(map[string]follow.Item)}
+func newMirror(d Decoder, node *forward.Node, metrics forward.Metrics, log logr.Logger) *mirror {
+	return &mirror{decoder: d, node: node, metrics: metrics, log: log, targets: make(map[string]follow.Item)}
 }
 
 // HandleStatus implements follow.Handler.
@@ -357,11 +358,12 @@
 	}
 }
 
-// decodeTarget decodes a target; one that cannot be decoded is logged and
+// decodeTarget decodes a target; one that cannot be decoded is logged, counted and
 // ignored.
 func (m *mirror) decodeTarget(item follow.Item) (fleet.Target, bool) {
 	t, err := m.decoder.Target(item.Key, item.Value)
 	if err != nil {
+		m.metrics.Add("target_entries", "ignored")
 		m.log.Info("target-ignored", "key", item.Key, "revision", item.Revision, "cause", err.Error())
 		return t, false
 	}
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -151,7 +151,7 @@
 	if err := g.traffic.register(i.metrics); err != nil {
 		return err
 	}
-	i.mirror = newMirror(i.opts.Decoder, i.node, i.opts.Log)
+	i.mirror = newMirror(i.opts.Decoder, i.node, i.metrics, i.opts.Log)
 	i.mirror.onPeerAddress = i.addPeerAddress
 	i.mirror.onList = func() { g.send(fleet.SendGossip{}) }
 	i.mirror.onChange = g.sendChanges
