--- a/internal/fleet/attempt.go
+++ b/internal/fleet/attempt.go
@@ -89,7 +89,7 @@
 		c.incrementCounter("answers_dropped", "late-end")
 		return
 	}
-	a.lastEnd = ev
+	a.lastEnd, c.deciding = ev, a
 	if a.relayedBy != "" {
 		c.handleRelayEnd(a, ev)
 		return
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -56,6 +56,7 @@
 	requests      map[RequestID]*activeRequest
 	attempts      map[AttemptID]*activeRequest
 	lastAttemptID AttemptID
+	deciding      *activeRequest // request that the present Step dispatches or whose attempt it ends, see Recover
 	lastKey       uint64         // numbers loads and reservation tickets of this process
 	roundRobin    map[string]int // position of PolicyRoundRobin, by service
 
@@ -109,11 +110,12 @@
 
 // Step advances the time to now, runs the timers that are due, handles one event
 // and returns the effects that the caller has to carry out, in order. A target's answer is
-// handled before the timers. The returned slice is valid until the next Step.
+// handled before the timers. The returned slice is valid until the next Step. After a panic,
+// Recover has to be called before the next Step.
 func (c *Core) Step(now time.Duration, ev Event) []Effect {
 	c.now = max(c.now, now)
 	c.effects = c.effects[:0]
-	c.replacementSearches = 0
+	c.replacementSearches, c.deciding = 0, nil
 	c.recordHoldUp()
 	if isFromTarget(ev) { // it has arrived before the timers that are due now
 		c.handleEvent(ev)
@@ -182,6 +184,7 @@
 		c.endStop()
 	case Tick:
 	}
+	c.deciding = nil
 }
 
 // NextTimer returns the time at which the next timer is due, when Step has to be called
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -107,6 +107,7 @@
 		a.deadline = min(a.deadline, c.now+timeout)
 	}
 	c.requests[ev.Request] = a
+	c.deciding = a
 	a.service = c.pickService(ev.Route)
 	c.countRequest(a.service)
 	c.lastArrivalAt = c.now
@@ -142,9 +143,16 @@
 	return ""
 }
 
-// dispatch chooses targets for the next attempt and sends it, reserves memory first,
-// lets the request wait, or ends the request.
+// dispatch makes the next decision about a request that no attempt serves.
 func (c *Core) dispatch(a *activeRequest) {
+	c.deciding = a
+	c.decide(a)
+	c.deciding = nil
+}
+
+// decide chooses targets for the next attempt and sends it, reserves memory first,
+// lets the request wait, or ends the request.
+func (c *Core) decide(a *activeRequest) {
 	c.followConfig(a)
 	if c.isBlocked(a) {
 		c.refuseOrFail(a, result.Quarantined, quarantineRetryAfter)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -194,7 +196,7 @@
 	case fleet.EndStop:
 		n.transfers.stop(time.Now()) // the end may come sooner, after a suspension
 	}
-	for _, eff := range n.core.Step(n.clock.now(), ev) {
+	for _, eff := range n.stepCore(ev) {
 		n.executeEffect(eff)
 	}
 	switch ev.(type) {
@@ -215,6 +217,29 @@
 	}
 }
 
+// stepCore is fleet.Core.Step. A panic ends the decision that caused it, and neither the process
+// nor the effects before it.
+func (n *Node) stepCore(ev fleet.Event) (effects []fleet.Effect) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			n.opts.Log.Info("step-panicked", "stack", string(debug.Stack()))
+			effects = n.recoverCore(ev, cause)
+		}
+	}()
+	return n.core.Step(n.clock.now(), ev)
+}
+
+// recoverCore is fleet.Core.Recover. Nothing is carried out if that panics, too.
+func (n *Node) recoverCore(ev fleet.Event, cause any) (effects []fleet.Effect) {
+	defer func() {
+		if second := recover(); second != nil {
+			n.opts.Log.Info("recovery-panicked", "cause", fmt.Sprint(second), "stack", string(debug.Stack()))
+			effects = nil
+		}
+	}()
+	return n.core.Recover(ev, cause)
+}
+
 // awaitConfig waits up to firstConfigTimeout for the first configuration and the first list
 // of targets, so that callers of an instance that has just started need not retry.
 func (n *Node) awaitConfig(ctx context.Context) {
