--- a/internal/fleet/engine_model.go
+++ b/internal/fleet/engine_model.go
@@ -8,7 +8,17 @@
 
 func toMS(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-func fromMS(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
+// fromMS returns a period of v milliseconds, at most maxPredictedMS; zero if v is not a number.
+func fromMS(v float64) time.Duration {
+	if math.IsNaN(v) {
+		return 0
+	}
+	return time.Duration(min(maxPredictedMS, max(-maxPredictedMS, v)) * float64(time.Millisecond))
+}
+
+// maxPredictedMS is longer than any request may take. Sums of some such periods fit a
+// time.Duration.
+const maxPredictedMS = 1e11
 
 // pairsUnit is the number of pairs that Engine.PairsMSPerM is the time of.
 const pairsUnit = 1e6
