fleet: statements of peers with numbers out of range are left out

Such statements count as unreadable parts, and a message that had one among its loads does not replace the others.

--- a/internal/fleetnode/decode.go
+++ b/internal/fleetnode/decode.go
@@ -25,8 +25,27 @@
 
 // decodeMessage decodes a message of any build. Elements that this build does not know
 // are ignored, those that the sender's build did not know are zero, and parts that cannot
-// be decoded are left out.
+// be decoded, or whose numbers are out of range, are left out.
 func decodeMessage(raw []byte) (*receivedMessage, error) {
+	m, err := decodeParts(raw)
+	if err != nil {
+		return nil, err
+	}
+	for _, list := range m.Gossip.DropOutOfRange() {
+		if list == "Loads" {
+			m.unreadable = append(m.unreadable, loadsPath)
+		} else {
+			m.unreadable = append(m.unreadable, newsPath+"."+list)
+		}
+	}
+	if slices.Contains(m.unreadable, loadsPath) {
+		m.Gossip.Full = false // what could not be read has not ended
+	}
+	return m, nil
+}
+
+// decodeParts decodes the parts of a message that can be decoded.
+func decodeParts(raw []byte) (*receivedMessage, error) {
 	m := &receivedMessage{}
 	var content []byte
 	m.format, content = splitFormat(raw)
@@ -43,9 +62,6 @@
 		return nil, fmt.Errorf("decode a message from a peer: %w", errNoSender)
 	}
 	m.news, m.unreadable = parts.news, parts.unreadable
-	if slices.Contains(m.unreadable, loadsPath) {
-		m.Gossip.Full = false // what could not be read has not ended
-	}
 	return m, nil
 }
 
