fleet: a stop admits late streams only if they fit beside others' prompts

Cause: endsBeforeStop judged a stream by the targets' present loads. Prompts that other instances sent to the same target later, of 1.8 and 1.9 s of prefill in the two cases followed up, were prefilled between its tokens. Change: late in a stop an answer has to fit with the longest recent prefill, stretched by the share of the targets' time that prefills take, before the earliest end of the stop.

--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -71,6 +71,7 @@
 	reportedCrashes     []reportedCrash                 // own ones that the full messages repeat
 	targetChecks        map[incarnation]*targetCheck    // of targets with broken runs
 	demands             map[string]*demand              // by service
+	prefillDemands      map[string]*prefillDemand       // by service
 	peerArrivals        map[string]*arrivalCount        // of short requests, by service
 	waiting             map[RequestID]*activeRequest    // that wait for room at the targets
 	waitingPeers        map[*peerProcess]bool           // of which requests are known to wait
@@ -100,7 +101,7 @@
 		quiets: make(map[incarnation]*targetQuiet), colds: make(map[incarnation]*targetCold), roster: instanceRoster{size: 1, baseSize: 1},
 		roundRobin: make(map[string]int), peers: make(map[string]*peer),
 		retryBudgets: make(map[string]*retryBudget), culprits: quarantine.NewCulprits(), announcedVerdicts: make(map[quarantine.Fingerprint]bool), domains: make(map[string]*domainHealth),
-		targetChecks: make(map[incarnation]*targetCheck), demands: make(map[string]*demand), peerArrivals: make(map[string]*arrivalCount), waiting: make(map[RequestID]*activeRequest), waitingPeers: make(map[*peerProcess]bool), returnsBookedUntil: make(map[string]time.Duration), paths: make(map[string]*targetPath), outdatedPathChecks: make(map[string]bool), lengths: forecast.NewLengths(), firstEvents: forecast.NewRatios(),
+		targetChecks: make(map[incarnation]*targetCheck), demands: make(map[string]*demand), prefillDemands: make(map[string]*prefillDemand), peerArrivals: make(map[string]*arrivalCount), waiting: make(map[RequestID]*activeRequest), waitingPeers: make(map[*peerProcess]bool), returnsBookedUntil: make(map[string]time.Duration), paths: make(map[string]*targetPath), outdatedPathChecks: make(map[string]bool), lengths: forecast.NewLengths(), firstEvents: forecast.NewRatios(),
 		store:       storeState{reachable: true, departed: make(map[incarnation]time.Duration)},
 		saidLeaving: make(map[incarnation]time.Duration),
 	}
--- a/internal/fleet/headroom.go
+++ b/internal/fleet/headroom.go
@@ -66,7 +66,9 @@
 
 // recordPeerLoad counts a new load of a peer, unless it was sent a while ago.
 func (c *Core) recordPeerLoad(target *targetState, tracked *trackedLoad) {
-	if tracked.AgeMS > int(toMS(arrivalTimeConstant)) {
+	recent := tracked.AgeMS <= int(toMS(arrivalTimeConstant))
+	c.recordPrefill(target.Service, tracked, recent)
+	if !recent {
 		return
 	}
 	c.recordDemand(target.Service, tracked)
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -318,6 +318,7 @@
 		tracked.answer = c.predictAnswer(a)
 		a.loads = append(a.loads, placedLoad{target, tracked})
 		c.recordDemand(a.service, tracked)
+		c.recordPrefill(a.service, tracked, true)
 		c.outbox.pending.Loads = append(c.outbox.pending.Loads, load)
 		c.outbox.recordChange(load.Key, target)
 	}
--- a/internal/fleet/stop.go
+++ b/internal/fleet/stop.go
@@ -22,6 +22,10 @@
 // is assumed to take to its first event, or to a plain answer, during a stop.
 const stopLatencyFactor = 2
 
+// maxEarlyStopEnd is by how much a stop may end sooner than planned, on a machine that keeps its
+// process from running.
+const maxEarlyStopEnd = 500 * time.Millisecond
+
 // Stopping reports whether a planned stop has begun.
 func (c *Core) Stopping() bool { return c.stop.begun }
 
@@ -54,6 +58,9 @@
 		}
 		switch {
 		case a.anyEventDelivered:
+			c.log("stream-cut-by-stop", "request", a.arrival.ID, "prompt", a.arrival.PromptTokens, "longest_answer", a.arrival.MaxAnswerTokens,
+				"arrived_after_stop_ms", int(toMS(a.arrivedAt-c.stop.begunAt)), "sent_after_stop_ms", int(toMS(a.sentAt-c.stop.begunAt)),
+				"last_event_ms", int(toMS(c.now-a.lastEventAt)))
 			c.incrementCounter("streams_cut_by_stop", c.stop.arrivalPeriod(a.arrivedAt))
 			c.finishRequest(a, Finish{Code: result.StopRunning})
 		case a.attemptsRun > 0 && !a.hasFailureAnswer:
@@ -99,7 +106,7 @@
 	if e := c.engineOf(a); e != nil {
 		neededTime += fromMS(e.prefillMS(a.arrival.PromptTokens, 1) + c.answerTokensInStop(a, e)*e.fullStepMS())
 	}
-	return c.now+neededTime < c.stop.deadline
+	return c.fitsStop(a, neededTime)
 }
 
 // canSendBeforeStopEnds reports whether a request that is sent now with the placement p is
@@ -120,7 +127,7 @@
 		stepMS := p.primary.predictState(e).stepMS + e.decodeMS(float64(a.arrival.PromptTokens/p.partCount()))
 		neededTime = fromMS(p.firstEventMS + c.answerTokensInStop(a, e)*stepMS)
 	}
-	return c.now+neededTime < c.stop.deadline
+	return c.fitsStop(a, neededTime)
 }
 
 // canWaitBeforeStopEnds reports whether a request may wait for a later placement: not in a
@@ -135,7 +142,25 @@
 		parts := max(1, len(c.candidateTargets(a)))
 		neededTime += fromMS(e.prefillMS(a.arrival.PromptTokens, parts) + c.answerTokensInStop(a, e)*e.fullStepMS())
 	}
-	return c.now+neededTime < c.stop.deadline
+	return c.fitsStop(a, neededTime)
+}
+
+// fitsStop reports whether an answer that takes neededTime by itself ends before the process
+// does. Once the stop is late, callers are served elsewhere, and an answer that is cut costs them
+// more than a refusal: it then has to fit beside what others send to the same target.
+func (c *Core) fitsStop(a *activeRequest, neededTime time.Duration) bool {
+	end := c.stop.deadline
+	if c.stop.isLate(c.now) {
+		end -= maxEarlyStopEnd
+		if c.engineOf(a) != nil {
+			neededTime = c.withOtherPrefills(a.service, neededTime)
+		}
+	}
+	if c.now+neededTime < end {
+		return true
+	}
+	c.log("does-not-fit-stop", "request", a.arrival.ID, "prompt", a.arrival.PromptTokens, "needed_ms", int(toMS(neededTime)), "left_ms", int(toMS(end-c.now)))
+	return false
 }
 
 // mayHaveRun reports whether an attempt has run at a target or may have.
