httpanswer: an answer without a length is cut if its request was not written

Cause: the kernel reports a reset to the writer of the request or to the reader of the answer, whoever touches the socket first; after the writer, the reader sees an orderly end. Change: such an answer is complete only if its request was written; otherwise the attempt is broken, and its refusal as not run is not believed. The same in the client of the loopback form. Early answers of sound targets are delivered as before.

--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -10,10 +10,13 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/medlardeck/medlardeck/internal/entry"
+	"github.com/medlardeck/medlardeck/internal/httpanswer"
 	"github.com/medlardeck/medlardeck/internal/target"
 )
 
@@ -194,8 +197,13 @@
 	if call.Resume > 0 {
 		req.Header.Set(HeaderResume, strconv.Itoa(call.Resume))
 	}
-	resp, err := client.Do(req)
+	var written atomic.Pointer[httpanswer.RequestWrite] // on the connection in use; the transport may try another
+	resp, err := client.Do(req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:      func(httptrace.GotConnInfo) { written.Store(httpanswer.NewRequestWrite()) },
+		WroteRequest: func(info httptrace.WroteRequestInfo) { written.Load().End(info.Err) },
+	})))
 	if err == nil {
+		httpanswer.Guard(resp, written.Load())
 		return resp, ""
 	}
 	var opErr *net.OpError
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -9,10 +9,12 @@
 	"io"
 	"mime"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
 	"github.com/medlardeck/medlardeck/internal/fleet"
+	"github.com/medlardeck/medlardeck/internal/httpanswer"
 )
 
 // Limits of one attempt at a target.
@@ -87,7 +89,7 @@
 	}
 	defer x.clearConn()
 	written := x.writeRequest(c, send, timeLeft)
-	end, resp := x.readResponse(ctx, c, send)
+	end, resp := x.readResponse(ctx, c, send, written)
 	end.Limit = x.limit
 	x.releaseConn(c, resp, written, end)
 	return end
@@ -110,25 +112,18 @@
 
 // releaseConn returns the connection to the pool after a complete request and
 // response; otherwise it closes the connection.
-func (x *exchange) releaseConn(c *conn, resp *http.Response, written <-chan error, end fleet.AttemptEnd) {
+func (x *exchange) releaseConn(c *conn, resp *http.Response, written *httpanswer.RequestWrite, end fleet.AttemptEnd) {
 	complete := end.Outcome == fleet.OutcomeComplete || end.Outcome == fleet.OutcomeFailed || end.Outcome == fleet.OutcomeNotRun
-	if complete && resp != nil && !resp.Close {
-		select {
-		case err := <-written:
-			if err == nil {
-				x.node.pool.put(c, resp.Header)
-				return
-			}
-		default: // the request body is still being written
-		}
+	if complete && resp != nil && !resp.Close && written.IsComplete() {
+		x.node.pool.put(c, resp.Header)
+		return
 	}
 	_ = c.Close()
 }
 
-// writeRequest sends the request; the returned channel receives the result. A
-// body longer than maxInlineBodyBytes is written concurrently with reading the
+// writeRequest sends the request. A body longer than maxInlineBodyBytes is written concurrently with reading the
 // response, since a target may respond before it has read the whole body.
-func (x *exchange) writeRequest(c *conn, send fleet.Send, timeLeft time.Duration) <-chan error {
+func (x *exchange) writeRequest(c *conn, send fleet.Send, timeLeft time.Duration) *httpanswer.RequestWrite {
 	h := make(http.Header, len(x.r.Header)+4)
 	copyEndToEndHeaders(h, x.r.Header)
 	if h["Content-Type"] == nil {
@@ -151,30 +146,34 @@
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", x.r.Method, x.r.RequestURI, x.r.Host)
 	_ = h.Write(&head) // writes to a buffer cannot fail
 	head.WriteString("\r\n")
-	done := make(chan error, 1)
+	written := httpanswer.NewRequestWrite()
 	if x.body.size <= maxInlineBodyBytes {
 		_ = x.body.writeTo(&head)
 		_, err := c.Write(head.Bytes())
-		done <- err
-		return done
+		written.End(err)
+		return written
 	}
 	go func() {
 		_, err := c.Write(head.Bytes())
 		if err == nil {
 			err = x.body.writeTo(c)
 		}
-		done <- err
+		written.End(err)
 	}()
-	return done
+	return written
 }
 
 // readResponse reads the response and relays or buffers it. The returned
 // response is nil if its head could not be read.
-func (x *exchange) readResponse(ctx context.Context, c *conn, send fleet.Send) (fleet.AttemptEnd, *http.Response) {
+func (x *exchange) readResponse(ctx context.Context, c *conn, send fleet.Send, written *httpanswer.RequestWrite) (fleet.AttemptEnd, *http.Response) {
 	resp, metadata, err := x.readResponseHead(c)
 	if err != nil {
 		return brokenAttempt(err), nil
 	}
+	httpanswer.Guard(resp, written)
+	if metadata.NotRun && httpanswer.EndsByClose(resp) && isCut(discardBody(c, resp, maxDiscardedBytes), written) {
+		return brokenAttempt(httpanswer.ErrCut), resp // not believed: the request may have run
+	}
 	x.limit = metadata.Limit
 	if send.Relay.Address == "" {
 		x.node.reportQuiet(send.Target, send.Attempt, metadata.Quiet)
@@ -208,6 +207,11 @@
 	return x.bufferResponse(ctx, resp, metadata), resp
 }
 
+// isCut reports whether a connection has ended with an error, or before the request was written.
+func isCut(err error, written *httpanswer.RequestWrite) bool {
+	return err != nil && !errors.Is(err, errResponseTooLarge) && !errors.Is(err, os.ErrDeadlineExceeded) && !written.IsComplete()
+}
+
 // misdirectedAttempt returns the end of an attempt that was answered with status 421. A target
 // that answers under its own id lacks the weights that the request expects, if it expects
 // any. Without an id, or about a helper, the answer to such a request proves no other target
@@ -289,7 +293,7 @@
 		x.dropAnswer()
 		return brokenAttempt(err)
 	}
-	end := fleet.AttemptEnd{Outcome: fleet.OutcomeComplete, Status: resp.StatusCode, FailedAddress: metadata.FailedAddress, EndedByClose: endsByClose(resp)}
+	end := fleet.AttemptEnd{Outcome: fleet.OutcomeComplete, Status: resp.StatusCode, FailedAddress: metadata.FailedAddress, EndedByClose: httpanswer.EndsByClose(resp)}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		end.Outcome = fleet.OutcomeFailed
 	}
@@ -308,7 +312,7 @@
 	for first := true; ; first = false {
 		event, err := events.next(ctx)
 		if err != nil {
-			return x.endStream(resp, err, len(event) > 0 || first && endsByClose(resp))
+			return x.endStream(resp, err, len(event) > 0 || first && httpanswer.EndsByClose(resp))
 		}
 		if x.isCancelled(send.Attempt) {
 			return brokenAttempt(errCancelled)
@@ -344,11 +348,5 @@
 	}
 	x.writeStreamHead(resp)
 	x.streamEnded = true
-	return fleet.AttemptEnd{Outcome: fleet.OutcomeComplete, Status: resp.StatusCode, EndedByClose: endsByClose(resp)}
-}
-
-// endsByClose reports whether a response has neither a length nor chunks, so that only
-// the end of its connection ends it.
-func endsByClose(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	return fleet.AttemptEnd{Outcome: fleet.OutcomeComplete, Status: resp.StatusCode, EndedByClose: httpanswer.EndsByClose(resp)}
 }
--- a/internal/forward/attempt_test.go
+++ b/internal/forward/attempt_test.go
@@ -13,6 +13,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/medlardeck/medlardeck/internal/fleet"
+	"github.com/medlardeck/medlardeck/internal/httpanswer"
 	"github.com/medlardeck/medlardeck/internal/membudget"
 )
 
@@ -50,9 +51,9 @@
 		t.Cleanup(func() { _ = server.Close() })
 		_, err = io.WriteString(server, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 12\r\n\r\n"+body)
 		must.NoError(t, err)
-		written := make(chan error, 1)
-		written <- nil
-		end, resp := x.readResponse(t.Context(), c, fleet.Send{Target: fleet.Target{ID: "t0"}})
+		written := httpanswer.NewRequestWrite()
+		written.End(nil)
+		end, resp := x.readResponse(t.Context(), c, fleet.Send{Target: fleet.Target{ID: "t0"}}, written)
 		must.Eq(t, fleet.OutcomeNotRun, end.Outcome)
 		x.releaseConn(c, resp, written, end)
 		must.Eq(t, reused, x.node.pool.takeIdle("t0") != nil)
