httpanswer: heads that HTTP/1.1 does not have are no answers

What callers saw: at a status 000 their connection was closed without an answer, since net/http panics at it; an answer with a blank in the name of a field was passed on, with that line or with another length than the target's (MIXED). Cause: http.ReadResponse takes any three digits for a status, any version, and a blank in a name. Change: CheckHead refuses such heads before anything of them is believed, wherever answers are read: targets, peers, orders, the store, and the clients of the loopback form.

--- a/internal/engineclient/answer_test.go
+++ b/internal/engineclient/answer_test.go
@@ -71,3 +71,18 @@
 		must.Eq(t, entry.OutcomeBroke, c.Serve(t.Context(), call, &sink).Outcome, must.Sprintf("request %d: %q", i, sink.body.String()))
 	}
 }
+
+// An answer with a status or the name of a field that HTTP/1.1 does not have was passed on.
+func TestAnswerWithAnInvalidHeadIsBroken(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 000 Trouble\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n", "HTTP/1.1 700 Trouble\r\n"} {
+		c := New(time.Second)
+		t.Cleanup(c.Close)
+		address := answerAfterHead(t, head+"\r\npart")
+		var sink recordingSink
+		end := c.Serve(t.Context(), Call{Attempt: "a", Address: address, Method: http.MethodGet, Path: "/x"}, &sink)
+		must.Eq(t, entry.OutcomeBroke, end.Outcome, must.Sprint(head))
+		must.Eq(t, 0, sink.status)
+		status, _ := c.Order(t.Context(), entry.OrderCall{Address: address, Read: true}, "")
+		must.Eq(t, entry.OrderUnknown, status)
+	}
+}
--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -95,13 +95,13 @@
 	}
 	newClient := func(reuseConns bool) *http.Client {
 		return &http.Client{
-			Transport: &http.Transport{
+			Transport: httpanswer.Transport{Transport: &http.Transport{
 				DialContext:         dialWithTimeout,
 				MaxIdleConnsPerHost: maxIdleConnsPerTarget,
 				IdleConnTimeout:     idleConnTimeout,
 				DisableCompression:  true,
 				DisableKeepAlives:   !reuseConns,
-			},
+			}},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		}
 	}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -248,6 +248,10 @@
 		if err != nil {
 			return nil, ResponseMetadata{}, err
 		}
+		if err := httpanswer.CheckHead(resp); err != nil {
+			x.node.opts.Metrics.Add("answers_dropped", "invalid-head")
+			return nil, ResponseMetadata{}, err
+		}
 		metadata := x.node.opts.HeaderCodec.ReadResponse(resp.StatusCode, resp.Header)
 		x.node.reportLeaving(c, resp, metadata)
 		if resp.StatusCode/100 == 1 {
--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -13,6 +13,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/medlardeck/medlardeck/internal/httpanswer"
 )
 
 // HeaderCaller is the header with the name of the calling instance, by which
@@ -40,7 +42,7 @@
 // NewHTTPWithDialer is NewHTTP with a custom dial function.
 func NewHTTPWithDialer(dial func(ctx context.Context, network, address string) (net.Conn, error), base, caller string) *HTTP {
 	return &HTTP{base: strings.TrimSuffix(base, "/"), caller: caller, client: &http.Client{
-		Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second},
+		Transport: httpanswer.Transport{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second}},
 	}}
 }
 
