--- a/internal/fleetnode/following.go
+++ b/internal/fleetnode/following.go
@@ -148,7 +148,7 @@
 	f := &follow.Follower{
 		Source: i.opts.Store, Handler: i.mirror, RelistAfterOutage: true, NeedsRelist: i.mirror.needsRelist,
 		WatchTimeout: i.opts.Settings.maxChangeDelay() / watchesPerConfigDelay,
-		ShouldFollow: i.shouldFollow,
+		ShouldFollow: i.shouldFollow, OnTooLong: i.exchange.readConfigFromStore,
 	}
 	go func() {
 		select {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -19,6 +19,9 @@
 // since the position from which changes were requested, or during a call.
 var ErrRestored = errors.New("the store was restored from an older copy")
 
+// ErrTooLong is returned by a Source whose list exceeds its bounds.
+var ErrTooLong = errors.New("the list has no end within its bound")
+
 // Position is a moment in the life of a store. A store that is restored from an older
 // copy begins a new era, in which revisions are given out again.
 type Position struct{ Era, Revision uint64 }
@@ -94,6 +97,9 @@
 	// relistDelay later, since the store may have been restored before this Follower
 	// followed it; nil means never.
 	NeedsRelist func() bool
+	// OnTooLong is called when a list fails with ErrTooLong: the store answers, and what is
+	// needed most may be read by itself. Nil for no call.
+	OnTooLong func()
 	// WatchTimeout is how long a watch waits for a change. It bounds the time
 	// until a watch that stopped receiving changes is noticed; shorter watches
 	// cost more calls.
@@ -145,6 +151,9 @@
 			// If only watches fail, a list still shows the changes.
 			listed = false
 			f.Handler.HandleStatus(false, err)
+			if errors.Is(err, ErrTooLong) && f.OnTooLong != nil {
+				f.OnTooLong()
+			}
 			sleep(ctx, backoff)
 			backoff = min(maxBackoff, 2*backoff)
 		}
