--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -49,6 +49,8 @@
 	follow.Source
 	// Put writes a key and returns the era of the store that has the write.
 	Put(ctx context.Context, key string, value []byte) (era uint64, err error)
+	// SetAddress sets the address of the store, given as host:port.
+	SetAddress(address string)
 }
 
 // Options configures an Instance.
@@ -82,6 +84,7 @@
 	announcedEra     atomic.Uint64 // of the store that has the address; zero before the first write
 	cancel           context.CancelFunc
 	ctx              context.Context
+	storeAddress     string        // as the settings named it last; used by Reload alone
 	longestLag       time.Duration // by which a pause of a stop was longer than asked for
 }
 
@@ -101,7 +104,7 @@
 		return nil, fmt.Errorf("start instance %q: %w", s.Name, err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	i := &Instance{opts: opts, gossip: g, cancel: cancel, ctx: ctx, limits: newLimitSource(s.MaxConfigDelay), metrics: metrics, budget: membudget.New(budgetBytes(s.memoryBytes()))}
+	i := &Instance{opts: opts, storeAddress: s.StoreAddress, gossip: g, cancel: cancel, ctx: ctx, limits: newLimitSource(s.MaxConfigDelay), metrics: metrics, budget: membudget.New(budgetBytes(s.memoryBytes()))}
 	g.versions = func() (uint64, follow.Position) { return 0, follow.Position{} }
 	g.followsStore, g.readsStore = func() bool { return false }, func() bool { return false }
 	messages, conns := make(chan fleet.SendGossip, maxQueuedMessages), s.connLimits()
@@ -252,9 +255,15 @@
 	}
 }
 
-// Reload applies changed settings. Only new seeds take effect; the other
-// settings apply from the next start.
+// Reload applies changed settings. New seeds and the address of the store take effect; the
+// other settings apply from the next start.
 func (i *Instance) Reload(s Settings) {
+	if s.StoreAddress != i.storeAddress {
+		i.opts.Log.Info("store-moved", "from", i.storeAddress, "to", s.StoreAddress)
+		i.storeAddress = s.StoreAddress
+		i.opts.Store.SetAddress(s.StoreAddress)
+		go i.announceAgain()
+	}
 	for _, seed := range s.Seeds {
 		i.addPeerAddress(seed)
 	}
--- a/internal/fleetnode/old_builds_test.go
+++ b/internal/fleetnode/old_builds_test.go
@@ -132,6 +132,8 @@
 	return nil, after, ctx.Err()
 }
 
+func (eraStore) SetAddress(string) {}
+
 func (eraStore) Put(context.Context, string, []byte) (uint64, error) { return 1, nil }
 
 // logBuffer collects the lines of a log.
@@ -171,6 +173,8 @@
 	return nil, follow.Position{}, errAway
 }
 
+func (awayStore) SetAddress(string) {}
+
 func (awayStore) Put(context.Context, string, []byte) (uint64, error) { return 0, errAway }
 
 // rejectingStore is an eraStore that answers one list and nothing after it.
--- a/internal/fleetnode/stop_test.go
+++ b/internal/fleetnode/stop_test.go
@@ -54,6 +54,8 @@
 	return nil, follow.Position{}, errUnreachable
 }
 
+func (unreachableStore) SetAddress(string) {}
+
 func (unreachableStore) Put(context.Context, string, []byte) (uint64, error) {
 	return 0, errUnreachable
 }
