--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -120,6 +120,7 @@
 	c.recordHoldUp()
 	if isFromTarget(ev) { // it has arrived before the timers that are due now
 		c.handleEvent(ev)
+		c.deciding = nil
 		c.timers.Run(c.now)
 	} else {
 		c.timers.Run(c.now)
@@ -185,7 +186,6 @@
 		c.endStop()
 	case Tick:
 	}
-	c.deciding = nil
 }
 
 // NextTimer returns the time at which the next timer is due, when Step has to be called
--- a/internal/fleet/gossip_ranges.go
+++ b/internal/fleet/gossip_ranges.go
@@ -30,9 +30,9 @@
 }
 
 // isInRange reports whether the numbers of a report can be those of a waiting request.
-func (r *WaitingReport) isInRange() bool {
-	return isBetween(r.Value, 0, maxToldValue) && isBetween(r.EngineMS, 0, maxToldMS) && isBetween(r.Priority, 0, firstLateUrgency-1) &&
-		isBetween(r.WaitedMS, 0, maxToldMS) && isBetween(r.LeftMS, -maxToldMS, maxToldMS) && isBetween(r.TargetLatencyMS, 0, maxToldMS)
+func (w *WaitingReport) isInRange() bool {
+	return isBetween(w.Value, 0, maxToldValue) && isBetween(w.EngineMS, 0, maxToldMS) && isBetween(w.Priority, 0, firstLateUrgency-1) &&
+		isBetween(w.WaitedMS, 0, maxToldMS) && isBetween(w.LeftMS, -maxToldMS, maxToldMS) && isBetween(w.TargetLatencyMS, 0, maxToldMS)
 }
 
 // DropOutOfRange removes the statements whose numbers are out of range. It returns the names of
