--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -172,7 +172,7 @@
 	}
 	httpanswer.Guard(resp, written)
 	if metadata.NotRun && httpanswer.EndsByClose(resp) && isCut(discardBody(c, resp, maxDiscardedBytes), written) {
-		return brokenAttempt(httpanswer.ErrCut), resp // not believed: the request may have run
+		return brokenAttempt(httpanswer.ErrTruncated), resp // not believed: the request may have run
 	}
 	x.limit = metadata.Limit
 	if send.Relay.Address == "" {
--- a/internal/httpanswer/head.go
+++ b/internal/httpanswer/head.go
@@ -7,20 +7,19 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// HeadError reports a head that is none of HTTP/1.1.
+// HeadError reports a response head that HTTP/1.1 does not allow.
 type HeadError struct {
-	Part  string // of the head
+	Part  string // "status", for example
 	Value string
 }
 
 func (e *HeadError) Error() string {
-	return fmt.Sprintf("%s %q of the answer is not valid", e.Part, e.Value)
+	return fmt.Sprintf("invalid %s %q in the response", e.Part, e.Value)
 }
 
-// CheckHead returns a HeadError for an answer whose version, status, or name or value of a field
-// the protocol does not have. Its other fields are not to be believed: those of a name with a
-// blank may have been its length. Nobody here asks for another protocol, so that status 101 is
-// not valid either.
+// CheckHead returns a HeadError for a version, status, or name or value of a field that HTTP/1.1
+// does not allow. No other field of such a head can be trusted: one whose name ends with a blank
+// may have been the length. Status 101 is invalid too, since no request asks for an upgrade.
 func CheckHead(resp *http.Response) error {
 	switch {
 	case resp.ProtoMajor != 1:
@@ -41,7 +40,7 @@
 	return nil
 }
 
-// Transport is an http.Transport that returns a HeadError for answers that CheckHead refuses.
+// Transport is an http.Transport that returns a HeadError for responses that fail CheckHead.
 type Transport struct{ *http.Transport }
 
 // RoundTrip implements http.RoundTripper.
@@ -51,7 +50,7 @@
 		return nil, err
 	}
 	if err := CheckHead(resp); err != nil {
-		_ = resp.Body.Close() // the answer is refused in any case
+		_ = resp.Body.Close() // the response is dropped in any case
 		return nil, err
 	}
 	return resp, nil
--- a/internal/httpanswer/write.go
+++ b/internal/httpanswer/write.go
@@ -1,5 +1,4 @@
-// Package httpanswer tells answers that a target means from those that net/http takes for one: it
-// reads an end, a status or the name of a field where HTTP/1.1 has none.
+// Package httpanswer detects truncated and invalid HTTP/1.1 responses that net/http accepts.
 package httpanswer
 
 import (
@@ -10,21 +9,22 @@
 	"time"
 )
 
-// ErrCut reports an answer without a length whose connection ended before the request was
-// written.
-var ErrCut = errors.New("the connection ended before the request was written")
+// ErrTruncated reports a response without a length whose connection was closed before the whole
+// request had been written.
+var ErrTruncated = errors.New("the connection was closed before the request was written")
 
-// writeResultTime is how long the end of an answer waits for the result of writing its request.
+// writeResultTime bounds the wait at the end of a response for the result of writing its request.
 const writeResultTime = 100 * time.Millisecond
 
-// RequestWrite is the writing of a request, which may go on while its answer is read.
+// RequestWrite is the result of writing a request, which may still be in progress while the
+// response is read.
 type RequestWrite struct {
 	ended chan struct{}
 	once  sync.Once
 	err   error
 }
 
-// NewRequestWrite returns a RequestWrite that goes on.
+// NewRequestWrite returns a RequestWrite that is in progress.
 func NewRequestWrite() *RequestWrite { return &RequestWrite{ended: make(chan struct{})} }
 
 // End records the result. Later calls have no effect.
@@ -35,34 +35,35 @@
 	})
 }
 
-// IsComplete reports whether the request has been written.
-func (w *RequestWrite) IsComplete() bool { return w.isCompleteWithin(0) }
-
-func (w *RequestWrite) isCompleteWithin(period time.Duration) bool {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
+// IsComplete reports whether the whole request has been written without an error.
+func (w *RequestWrite) IsComplete() bool {
 	select {
 	case <-w.ended:
 		return w.err == nil
 	default:
+		return false
 	}
+}
+
+// await returns when the writing has ended, or after a period.
+func (w *RequestWrite) await(period time.Duration) {
+	timer := time.NewTimer(period)
+	defer timer.Stop()
 	select {
 	case <-w.ended:
-		return w.err == nil
 	case <-timer.C:
-		return false
 	}
 }
 
-// EndsByClose reports whether an answer has neither a length nor chunks, so that only the end of
-// its connection ends it.
+// EndsByClose reports whether a response has neither a length nor chunks, so that the end of the
+// connection delimits it.
 func EndsByClose(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
-// Guard lets the body of an answer that EndsByClose end with ErrCut if its request was not
-// written. A reset is reported to either the writer of the request or the reader of the answer;
-// after the writer has seen it, the reader sees an orderly end.
+// Guard makes the body of a response that EndsByClose end with ErrTruncated unless its request was
+// written. The kernel reports a reset once: if the writer of the request gets it, the reader of
+// the response sees io.EOF.
 func Guard(resp *http.Response, write *RequestWrite) {
 	if EndsByClose(resp) {
 		resp.Body = &guardedBody{resp.Body, write}
@@ -77,8 +78,12 @@
 // Read implements io.Reader.
 func (b *guardedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) && !b.write.isCompleteWithin(writeResultTime) {
-		err = ErrCut
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	b.write.await(writeResultTime)
+	if !b.write.IsComplete() {
+		err = ErrTruncated
 	}
 	return n, err
 }
