--- a/review/drill3/main.go
+++ b/review/drill3/main.go
@@ -18,7 +18,8 @@
 
 // cases are the scripted cases by the name of their folder.
 var cases = map[string]func(*drill) (broken bool, err error){
-	"heads": runHeads,
+	"heads":    runHeads,
+	"cutwatch": runCutWatch,
 }
 
 func main() {
