--- a/review/drill3/main.go
+++ b/review/drill3/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(*drill) (broken bool, err error){
 	"heads":    runHeads,
 	"cutwatch": runCutWatch,
+	"poison":   runPoison,
 }
 
 func main() {
