--- a/review/drill3/main.go
+++ b/review/drill3/main.go
@@ -21,6 +21,7 @@
 	"heads":    runHeads,
 	"cutwatch": runCutWatch,
 	"poison":   runPoison,
+	"foreign":  runForeign,
 }
 
 func main() {
