--- a/review/drill3/drill.go
+++ b/review/drill3/drill.go
@@ -110,13 +110,18 @@
 	return fmt.Sprintf("%s-%d", name, d.lastID)
 }
 
-// putConfig writes the operator's configuration with the given routes.
+// putConfig writes the operator's configuration with the given routes and one tenant.
 func (d *drill) putConfig(version int, routes ...map[string]any) error {
+	return d.putConfigWith(version, []map[string]any{{"name": tenant, "api-keys": []string{apiKey}, "priority": 1}}, routes...)
+}
+
+// putConfigWith is putConfig with the given tenants.
+func (d *drill) putConfigWith(version int, tenants []map[string]any, routes ...map[string]any) error {
 	raw, err := json.Marshal(map[string]any{
 		"version": version, "routes": routes,
 		"services": []map[string]any{{"name": "pool", "health-path": "/health", "max-conns": 424, "protocol": "h1", "tls": false}},
 		"limits":   map[string]any{"max-header-bytes": maxHeaderBytes, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-		"tenants":  []map[string]any{{"name": tenant, "api-keys": []string{apiKey}, "priority": 1}},
+		"tenants":  tenants,
 	})
 	if err != nil {
 		return err
@@ -367,20 +372,25 @@
 
 // send sends a request on a new connection and reads the answer.
 func (d *drill) send(i *instance, method, path, id, body string) answer {
+	return d.sendWithKey(i, method, path, id, body, apiKey)
+}
+
+// sendWithKey is send with the given key.
+func (d *drill) sendWithKey(i *instance, method, path, id, body, key string) answer {
 	d.trace("sent to %s: %s %s %s", i.name, id, method, path)
-	a := d.exchange(i, method, path, id, body)
+	a := exchange(i, method, path, id, body, key)
 	d.trace("answer of %s to %s: %v", i.name, id, a)
 	return a
 }
 
-func (d *drill) exchange(i *instance, method, path, id, body string) answer {
+func exchange(i *instance, method, path, id, body, key string) answer {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: clientTimeout}
 	req, err := http.NewRequest(method, "http://"+i.callers+path, strings.NewReader(body))
 	if err != nil {
 		return answer{err: err}
 	}
 	req.Host = hostName
-	req.Header.Set("Authorization", "Bearer "+apiKey)
+	req.Header.Set("Authorization", "Bearer "+key)
 	req.Header.Set("Medlardeck-Request-Id", id)
 	req.Header.Set("Medlardeck-Deadline-Ms", "10000")
 	resp, err := client.Do(req)
--- a/review/drill3/main.go
+++ b/review/drill3/main.go
@@ -22,6 +22,7 @@
 	"cutwatch": runCutWatch,
 	"poison":   runPoison,
 	"foreign":  runForeign,
+	"tenants":  runTenants,
 }
 
 func main() {
