--- a/review/drill3/cutwatch.go
+++ b/review/drill3/cutwatch.go
@@ -8,6 +8,7 @@
 	"net/http/httputil"
 	"net/url"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/medlardeck/medlardeck/platform/standin"
@@ -28,8 +29,7 @@
 // waited for a while without a change. It passes everything else on.
 type watchCutter struct {
 	next *httputil.ReverseProxy
-	cuts int
-	mu   sync.Mutex
+	cuts atomic.Int64
 }
 
 // startWatchCutter returns the address of the proxy.
@@ -46,7 +46,7 @@
 
 // ServeHTTP implements http.Handler.
 func (c *watchCutter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != "/kv-watch" {
+	if r.URL.Path != names["callWatch"] {
 		c.next.ServeHTTP(w, r)
 		return
 	}
@@ -54,9 +54,7 @@
 	defer cancel()
 	defer func() {
 		if ctx.Err() != nil {
-			c.mu.Lock()
-			c.cuts++
-			c.mu.Unlock()
+			c.cuts.Add(1)
 		}
 	}()
 	c.next.ServeHTTP(w, r.WithContext(ctx))
@@ -64,103 +62,123 @@
 
 // leavingPool is a service whose runners leave one after the other.
 type leavingPool struct {
-	d      *drill
-	mu     sync.Mutex
-	lastID int
-	leftAt map[string]time.Time // when the store acknowledged the removal of the entry
-	late   int
+	d       *drill
+	mu      sync.Mutex
+	lastID  int
+	members []member             // those that have not left, the oldest first
+	leftAt  map[string]time.Time // when the store acknowledged the removal of the entry
+	late    int                  // bookings that reached a runner later than drainTime after that
+	lost    int                  // bookings that were not done
 }
 
-func (p *leavingPool) add(zone string) (id string, r *standin.Runner, err error) {
+// add starts a runner.
+func (p *leavingPool) add(zone string) error {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.lastID++
-	id = fmt.Sprintf("i-%d", p.lastID)
-	p.mu.Unlock()
-	r, err = p.d.addRunner(id, zone, func(run *standin.Run) {
-		p.mu.Lock()
-		if leftAt, ok := p.leftAt[id]; ok {
-			after := time.Since(leftAt)
-			p.d.note("booking %s reaches %s, %d ms after its leaving was acknowledged", run.ID(), id, after.Milliseconds())
-			if after > drainTime {
-				p.late++
-			}
-		}
-		p.mu.Unlock()
+	id := fmt.Sprintf("i-%d", p.lastID)
+	r, err := p.d.addRunner(id, zone, func(run *standin.Run) {
+		p.recordBooking(id, run)
 		time.Sleep(shortBooking)
-		run.Respond(200, "booked "+run.ID())
+		run.Respond(http.StatusOK, "booked "+run.ID())
 	})
-	return id, r, err
+	p.members = append(p.members, member{id, zone, r})
+	return err
+}
+
+// recordBooking records a booking that has reached a runner.
+func (p *leavingPool) recordBooking(id string, run *standin.Run) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	leftAt, ok := p.leftAt[id]
+	if !ok {
+		return
+	}
+	after := time.Since(leftAt)
+	p.d.note("booking %s reaches %s, %d ms after its leaving was acknowledged", run.ID(), id, after.Milliseconds())
+	if after > drainTime {
+		p.late++
+	}
+}
+
+// member is a runner of the service.
+type member struct {
+	id, zone string
+	runner   *standin.Runner
 }
 
 // runCutWatch has runners leave while the store cuts watches that wait.
 func runCutWatch(d *drill) (bool, error) {
-	if err := d.putConfig(3, route("book", "non_idempotent")); err != nil {
+	if err := d.putConfig(route("book", "non_idempotent")); err != nil {
 		return false, err
 	}
-	var cutter *watchCutter
 	if d.trouble {
-		var err error
-		if cutter, d.storeAddress, err = startWatchCutter(d); err != nil {
+		cutter, address, err := startWatchCutter(d)
+		if err != nil {
 			return false, err
 		}
+		d.storeAddress = address
+		defer func() { d.note("watches cut: %d", cutter.cuts.Load()) }()
 	}
 	p := &leavingPool{d: d, leftAt: make(map[string]time.Time)}
-	type member struct {
-		id, zone string
-		runner   *standin.Runner
-	}
-	var members []member
 	for _, zone := range []string{"zone-a", "zone-b", "zone-c"} {
-		id, r, err := p.add(zone)
-		if err != nil {
+		if err := p.add(zone); err != nil {
 			return false, err
 		}
-		members = append(members, member{id, zone, r})
 	}
 	if err := d.addInstances("zone-a", "zone-a", "zone-b", "zone-c"); err != nil {
 		return false, err
 	}
-	time.Sleep(4 * time.Second)
-	lost := 0
+	time.Sleep(startsBefore)
 	for range leaveRounds {
-		old := members[0]
-		id, r, err := p.add(old.zone) // the new one starts first
-		if err != nil {
+		if err := p.replaceOldest(); err != nil {
 			return false, err
 		}
-		members = append(members[1:], member{id, old.zone, r})
-		time.Sleep(startsBefore)
-		p.mu.Lock()
-		old.runner.SetLeaving("1")
-		d.store.Remove("servers/" + old.id)
-		p.leftAt[old.id] = time.Now()
-		p.mu.Unlock()
-		d.note("the entry of %s is removed, %s takes its place", old.id, id)
-		time.AfterFunc(leaverExitAfter, old.runner.Crash)
 		time.Sleep(quietBefore)
-		var callers sync.WaitGroup
-		for _, i := range d.instances {
-			callers.Go(func() {
-				id := d.newID("book")
-				a := d.send(i, "POST", "/book/x", id, "a booking")
-				if a.err != nil || a.status != 200 {
-					d.note("booking %s by %s ends with: %v", id, i.name, a)
-					p.mu.Lock()
-					lost++
-					p.mu.Unlock()
-				}
-			})
-		}
-		callers.Wait()
+		p.bookEverywhere()
 		time.Sleep(time.Second)
 	}
-	if cutter != nil {
-		cutter.mu.Lock()
-		d.note("watches cut: %d", cutter.cuts)
-		cutter.mu.Unlock()
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	d.note("bookings that reached a runner more than %v after its leaving was acknowledged: %d; bookings not done: %d", drainTime, p.late, lost)
+	d.note("bookings that reached a runner more than %v after its leaving was acknowledged: %d; bookings not done: %d", drainTime, p.late, p.lost)
 	return p.late > 0, nil
 }
+
+// replaceOldest starts a runner and lets the oldest one leave some seconds later.
+func (p *leavingPool) replaceOldest() error {
+	p.mu.Lock()
+	old := p.members[0]
+	p.mu.Unlock()
+	if err := p.add(old.zone); err != nil { // the new one starts first
+		return err
+	}
+	time.Sleep(startsBefore)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.members = p.members[1:]
+	old.runner.SetLeaving("1")
+	p.d.store.Remove(names["keyRunners"] + old.id)
+	p.leftAt[old.id] = time.Now()
+	p.d.note("the entry of %s is removed, %s takes its place", old.id, p.members[len(p.members)-1].id)
+	time.AfterFunc(leaverExitAfter, old.runner.Crash)
+	return nil
+}
+
+// bookEverywhere sends one booking to each machine.
+func (p *leavingPool) bookEverywhere() {
+	var callers sync.WaitGroup
+	for _, i := range p.d.instances {
+		callers.Go(func() {
+			id := p.d.newID("book")
+			a := p.d.send(i, "POST", "/book/x", id, "a booking")
+			if a.err == nil && a.status == http.StatusOK {
+				return
+			}
+			p.d.note("booking %s by %s ends with: %v", id, i.name, a)
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.lost++
+		})
+	}
+	callers.Wait()
+}
--- a/review/drill3/drill.go
+++ b/review/drill3/drill.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -25,10 +24,10 @@
 	memoryMB       = 414
 	maxFDs         = 6150
 	maxHeaderBytes = 16384
-	configKey      = "op/config"
 	apiKey         = "n2ctnfzs989anu6wsjnb"
 	tenant         = "hule930"
 	hostName       = "ficu95.example"
+	firstVersion   = 3
 	// startTimeout is how long an instance may take until it is ready.
 	startTimeout  = 10 * time.Second
 	clientTimeout = 12 * time.Second
@@ -110,12 +109,12 @@
 	return fmt.Sprintf("%s-%d", name, d.lastID)
 }
 
-// putConfig writes the operator's configuration with the given routes and one tenant.
-func (d *drill) putConfig(version int, routes ...map[string]any) error {
-	return d.putConfigWith(version, []map[string]any{{"name": tenant, "api-keys": []string{apiKey}, "priority": 1}}, routes...)
+// putConfig writes the operator's first configuration with the given routes and one tenant.
+func (d *drill) putConfig(routes ...map[string]any) error {
+	return d.putConfigWith(firstVersion, []map[string]any{{"name": tenant, names["apiKeys"]: []string{apiKey}, "priority": 1}}, routes...)
 }
 
-// putConfigWith is putConfig with the given tenants.
+// putConfigWith writes a version of the operator's configuration.
 func (d *drill) putConfigWith(version int, tenants []map[string]any, routes ...map[string]any) error {
 	raw, err := json.Marshal(map[string]any{
 		"version": version, "routes": routes,
@@ -126,15 +125,15 @@
 	if err != nil {
 		return err
 	}
-	d.store.Put(configKey, raw)
+	d.store.Put(names["keyConfig"], raw)
 	return nil
 }
 
 // route returns a route of the configuration.
 func route(name, kind string) map[string]any {
 	return map[string]any{
-		"name": "r-" + name, "host": hostName, "prefix": "/" + name + "/", "kind": kind, "timeout-ms": 10000, "target-latency-ms": 300,
-		"priority": 1, "service": "pool", "max-attempts": 2, "no-auth": false,
+		"name": "r-" + name, "host": hostName, "prefix": "/" + name + "/", "kind": kind, "timeout-ms": 10000, names["targetLatencyMs"]: 300,
+		"priority": 1, "service": "pool", names["maxAttempts"]: 2, "no-auth": false,
 	}
 }
 
@@ -151,7 +150,7 @@
 	d.mu.Lock()
 	d.runners = append(d.runners, r)
 	d.mu.Unlock()
-	d.store.Put("servers/"+id, standin.TargetRegistration("pool", r.Address(), zone, "ready"))
+	d.store.Put(names["keyRunners"]+id, standin.TargetRegistration("pool", r.Address(), zone, "ready"))
 	return r, nil
 }
 
@@ -163,7 +162,6 @@
 	settings              string
 	cmd                   *exec.Cmd
 	exited                chan struct{}
-	log                   bytes.Buffer
 }
 
 // freePort returns a free TCP port of a loopback address.
@@ -250,9 +248,9 @@
 	raw, err := json.Marshal(map[string]any{
 		"node": fmt.Sprintf("front-%d", n), "role": "entry", "class": "front", "serves": []string{"front", "control"},
 		"ip": host, "zone": zone, "region": "region",
-		"zones":      map[string]string{"zone-a": "region", "zone-b": "region", "zone-c": "region"},
-		"listen":     map[string]string{"front": addresses[0], "ready": addresses[1], "control": addresses[2]},
-		"port-range": []int{firstPort, firstPort + 15}, "seeds": seeds, "bootstrap": true, "heartbeat-ms": 1200,
+		"zones":            map[string]string{"zone-a": "region", "zone-b": "region", "zone-c": "region"},
+		"listen":           map[string]string{"front": addresses[0], "ready": addresses[1], "control": addresses[2]},
+		names["portRange"]: []int{firstPort, firstPort + 15}, "seeds": seeds, "bootstrap": true, "heartbeat-ms": 1200,
 		"limits":    map[string]any{"cpu-share": 0.608, "cores": 1, "memory-mb": memoryMB, "max-fds": maxFDs, "link-mbps": 1500.0, "disk-mb": 0},
 		"discovery": "platform", "entry": "vip",
 		"contracts": []string{"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform", "spans"},
@@ -260,7 +258,7 @@
 		"bounds": map[string]any{
 			"seed-lag-s": 3, "reuse-after-s": 2, "stable-window-ms": 3000, "ack-ms": 4000, "catchup-s": 4, "drain-ms": 2000, "grace-s": 8,
 			"lost-slack-ms": 200, "config-ms": 2000, "rollback-slack-ms": 250, "stretch-max-ms": 5000, "strict-revoke": false, "revoke-ms": 5000,
-			"retry-ratio": 0.2, "retry-window-s": 10, "retry-slack": 102, "recovery-s": 12, "pass-ms": 120, "retry-after-s": 0,
+			"retry-ratio": 0.2, "retry-window-s": 10, names["retrySlack"]: 102, "recovery-s": 12, "pass-ms": 120, "retry-after-s": 0,
 			"stall_ms": 1500, "hold-max-ms": 20000, "free-ms": 4000, "idle-max-ms": 9000,
 		},
 		"platform": map[string]any{
@@ -391,13 +389,13 @@
 	}
 	req.Host = hostName
 	req.Header.Set("Authorization", "Bearer "+key)
-	req.Header.Set("Medlardeck-Request-Id", id)
-	req.Header.Set("Medlardeck-Deadline-Ms", "10000")
+	req.Header.Set(names["headerRequestId"], id)
+	req.Header.Set(names["headerDeadlineMs"], "10000")
 	resp, err := client.Do(req)
 	if err != nil {
 		return answer{err: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	text, err := io.ReadAll(resp.Body)
-	return answer{status: resp.StatusCode, stamp: resp.Header.Get("Medlardeck-Runner-Stamp"), body: string(text), header: resp.Header, err: err}
+	return answer{status: resp.StatusCode, stamp: resp.Header.Get(names["headerRunnerStamp"]), body: string(text), header: resp.Header, err: err}
 }
--- a/review/drill3/foreign.go
+++ b/review/drill3/foreign.go
@@ -18,7 +18,7 @@
 
 // runForeign kills the process while entries of another writer stand beside those of the runners.
 func runForeign(d *drill) (bool, error) {
-	if err := d.putConfig(3, route("look", "idempotent")); err != nil {
+	if err := d.putConfig(route("look", "idempotent")); err != nil {
 		return false, err
 	}
 	for n := range 4 {
@@ -33,7 +33,7 @@
 	before := d.countServed(i, "before", 3*time.Second)
 	if d.trouble {
 		for n := range foreignEntries {
-			d.store.Put(fmt.Sprintf("servers/other-%03d", n), bytes.Repeat([]byte{byte(n)}, foreignBytes))
+			d.store.Put(fmt.Sprintf("%sother-%03d", names["keyRunners"], n), bytes.Repeat([]byte{byte(n)}, foreignBytes))
 		}
 		d.note("%d entries of %d bytes that name no runner are in the store", foreignEntries, foreignBytes)
 	}
--- a/review/drill3/heads.go
+++ b/review/drill3/heads.go
@@ -78,15 +78,15 @@
 	if os.Getenv("LINES") == "long" {
 		fill = longHeaders
 	}
-	fixed := fmt.Sprintf("%s /look/x HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nMedlardeck-Request-Id: %s\r\nMedlardeck-Deadline-Ms: 10000\r\n%s",
-		method, hostName, apiKey, id, strings.Join(lines, ""))
+	fixed := fmt.Sprintf("%s /look/x HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n%s: %s\r\n%s: 10000\r\n%s",
+		method, hostName, apiKey, names["headerRequestId"], id, names["headerDeadlineMs"], strings.Join(lines, ""))
 	return fixed + fill(maxHeaderBytes-len(fixed)-100) + "\r\n"
 }
 
 // runHeads has clients send requests with many short header fields, within max-header-bytes,
 // and bodies that stop short of their end, to two of four machines.
 func runHeads(d *drill) (bool, error) {
-	if err := d.putConfig(3, route("look", "idempotent")); err != nil {
+	if err := d.putConfig(route("look", "idempotent")); err != nil {
 		return false, err
 	}
 	for n, zone := range []string{"zone-a", "zone-b", "zone-c"} {
@@ -230,7 +230,8 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		_, err = io.Copy(io.Discard, resp.Body)
+		if _ = resp.Body.Close(); err != nil {
 			return
 		}
 	}
--- a/review/drill3/poison.go
+++ b/review/drill3/poison.go
@@ -77,7 +77,7 @@
 		return
 	}
 	r.Crash()
-	time.AfterFunc(entryExpiry, func() { p.d.store.Remove("servers/" + id) })
+	time.AfterFunc(entryExpiry, func() { p.d.store.Remove(names["keyRunners"] + id) })
 	time.AfterFunc(crashDownTime, func() {
 		if err := p.add(zone); err != nil {
 			p.d.note("no new runner: %v", err)
@@ -88,7 +88,7 @@
 // runPoison has a caller of zone-a send a request that crashes the runners that run it. The caller
 // retries once at the other machine of its zone, as the clients of the site do, and comes again.
 func runPoison(d *drill) (bool, error) {
-	if err := d.putConfig(3, route("look", "idempotent"), route("book", "non_idempotent")); err != nil {
+	if err := d.putConfig(route("look", "idempotent"), route("book", "non_idempotent")); err != nil {
 		return false, err
 	}
 	p := &crashingPool{d: d, runners: make(map[string]*standin.Runner)}
--- a/review/drill3/tenants.go
+++ b/review/drill3/tenants.go
@@ -21,7 +21,7 @@
 func (d *drill) putTenants(version int, keys map[string]string) error {
 	tenants := []map[string]any{}
 	for name, key := range keys {
-		tenants = append(tenants, map[string]any{"name": name, "api-keys": []string{key}, "priority": 1})
+		tenants = append(tenants, map[string]any{"name": name, names["apiKeys"]: []string{key}, "priority": 1})
 	}
 	text, err := json.Marshal(tenants)
 	if err != nil {
@@ -33,7 +33,7 @@
 
 // runTenants has the operator take away one tenant after the other.
 func runTenants(d *drill) (bool, error) {
-	if err := d.putTenants(3, map[string]string{"hule930": firstKey, "movu112": secondKey}); err != nil {
+	if err := d.putTenants(firstVersion, map[string]string{"hule930": firstKey, "movu112": secondKey}); err != nil {
 		return false, err
 	}
 	var mu sync.Mutex
@@ -41,7 +41,7 @@
 	for n, zone := range []string{"zone-a", "zone-b", "zone-c"} {
 		if _, err := d.addRunner("i-"+string(rune('0'+n)), zone, func(run *standin.Run) {
 			mu.Lock()
-			ran[run.ID()] = run.Header.Get("Medlardeck-Tenant")
+			ran[run.ID()] = run.Header.Get(names["headerTenant"])
 			mu.Unlock()
 			run.Respond(200, "booked")
 		}); err != nil {
