--- a/review/drill3/main.go
+++ b/review/drill3/main.go
@@ -7,6 +7,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -45,6 +47,13 @@
 		return exitNotRun
 	}
 	defer d.close()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-signals
+		d.close()
+		os.Exit(exitNotRun)
+	}()
 	broken, err := play(d)
 	switch {
 	case err != nil:
