quarantine, fleet: crashes that a request goes on to count one by one

Cause: crashes in one failure domain with gaps of up to 250 ms counted as one. The attempts of a request and its caller's retry follow one another within milliseconds and prefer the own domain. Evidence: all four instances log the checks at once and block the request in the same millisecond, at its ninth crash; three crashes of one domain a millisecond apart block nothing in a test of quarantine.Culprits alone.

Change: instances tell which whole requests had begun at a target within the second before it crashed (message format 4; format 3 is still sent to builds that read it). For a request that was at all crashes of an incident each counts whose run began after the crash before. This holds when the incident has ended, since targets of a domain that ends may still follow; until then such a request is suspended (503, Retry-After 1). A crash is dated when its connection broke. After a broken run a retry prefers other failure domains.

--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -68,6 +68,7 @@
 	retryBudgets        map[string]*retryBudget // by service
 	culprits            *quarantine.Culprits
 	announcedVerdicts   map[quarantine.Fingerprint]bool // by this instance
+	incidentTimer       bool                            // the timer of endIncidents is running
 	reportedCrashes     []reportedCrash                 // own ones that the full messages repeat
 	targetChecks        map[incarnation]*targetCheck    // of targets with broken runs
 	demands             map[string]*demand              // by service
--- a/internal/fleet/crash.go
+++ b/internal/fleet/crash.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -32,7 +33,27 @@
 // reportedCrash is a crash that this instance has told its peers.
 type reportedCrash struct {
 	quarantine.Crash
-	at time.Duration
+	runs quarantine.CrashedRuns
+	at   time.Duration
+}
+
+// crashSuspects are the runs that may have ended their target.
+type crashSuspects struct {
+	// brokenAt is the time at which the connection of the first of them broke.
+	brokenAt     time.Duration
+	fingerprints []quarantine.Fingerprint
+	runs         []quarantine.CrashedRun
+}
+
+// add adds the current attempt of a request.
+func (s *crashSuspects) add(now time.Duration, a *activeRequest) {
+	if len(s.fingerprints) == 0 {
+		s.brokenAt = now
+	}
+	s.fingerprints = append(s.fingerprints, a.fingerprints...)
+	if duration := s.brokenAt - a.sentAt; duration < quarantine.MaxIncident {
+		s.runs = append(s.runs, quarantine.CrashedRun{Fingerprint: a.fingerprints[0], Duration: max(0, duration)})
+	}
 }
 
 // incarnation identifies one run of a target's process.
@@ -46,9 +67,8 @@
 // targetCheck is a check whether a target has ended, which a broken run alone does not
 // show: the connection may have been reset.
 type targetCheck struct {
-	brokenRuns int // since the last check
-	// suspects are the fingerprints of the runs that had not survived yet.
-	suspects []quarantine.Fingerprint
+	brokenRuns int           // since the last check
+	suspects   crashSuspects // those runs that had not survived yet
 	// waiting are the requests that are tried again after the check.
 	waiting []*activeRequest
 }
@@ -73,10 +93,24 @@
 	case quarantine.Trial:
 		a.trial = true
 		c.log("request-on-trial", "request", a.arrival.ID, "fingerprint", formatFingerprint(fp))
-	case quarantine.Refused:
-		c.log("request-blocked", "request", a.arrival.ID, "fingerprint", formatFingerprint(fp))
+	case quarantine.Refused, quarantine.Suspended:
+		c.log("request-blocked", "request", a.arrival.ID, "fingerprint", formatFingerprint(fp), "suspended", admission == quarantine.Suspended)
 	}
-	return admission == quarantine.Refused
+	return admission == quarantine.Refused || admission == quarantine.Suspended
+}
+
+// blockedRetryAfter is the Retry-After of a refused request that isBlocked.
+func (c *Core) blockedRetryAfter(a *activeRequest) time.Duration {
+	if c.admission(a) == quarantine.Suspended {
+		return quarantine.MaxIncident
+	}
+	return quarantineRetryAfter
+}
+
+// admission says whether a request may run without a trial.
+func (c *Core) admission(a *activeRequest) quarantine.Admission {
+	admission, _ := c.culprits.Admit(c.now, a.fingerprints, func(quarantine.Fingerprint) bool { return false })
+	return admission
 }
 
 // ownsTrial reports whether this instance runs the trials of a fingerprint. All
@@ -134,10 +168,11 @@
 		c.afterFunc(targetCheckDelay, func() { c.emit(CheckTarget{target}) })
 	}
 	check.brokenRuns++
+	a.brokenDomains = append(a.brokenDomains, a.target.FailureDomain)
 	if a.survivalRecorded || a.attemptDeliveredEvent && c.now-a.firstEventAt >= survivalTime {
 		return false
 	}
-	check.suspects = append(check.suspects, a.fingerprints...)
+	check.suspects.add(c.now, a)
 	if !c.culprits.Suspected(a.fingerprints) {
 		return false
 	}
@@ -165,9 +200,9 @@
 	}
 	delete(c.targetChecks, ev.Target.incarnation())
 	c.log("target-checked", "target", ev.Target.ID, "result", ev.Result.String(), "broken_runs", check.brokenRuns,
-		"suspects", len(check.suspects))
+		"suspects", len(check.suspects.fingerprints))
 	c.incrementCounter("targets_checked", ev.Result.String())
-	if ev.Result == CheckRefused && len(check.suspects) > 0 {
+	if ev.Result == CheckRefused && len(check.suspects.fingerprints) > 0 {
 		c.confirmCrash(ev.Target, check.suspects)
 	}
 	for _, a := range check.waiting {
@@ -178,32 +213,68 @@
 }
 
 // reportCrash records a crash that this instance noticed, and tells the peers.
-func (c *Core) reportCrash(target Target, suspects []quarantine.Fingerprint) {
+func (c *Core) reportCrash(target Target, suspects crashSuspects) {
 	crash := quarantine.Crash{
 		Death:         quarantine.Death{Target: target.ID, Incarnation: uint64(target.StartedMS)},
-		FailureDomain: target.FailureDomain, Suspects: c.culprits.SelectSuspects(suspects),
+		FailureDomain: target.FailureDomain, Age: c.now - suspects.brokenAt,
+		Suspects: c.culprits.SelectSuspects(suspects.fingerprints),
 	}
-	c.reportedCrashes = append(c.reportedCrashes, reportedCrash{crash, c.now})
+	runs := quarantine.CrashedRuns{Death: crash.Death, Runs: quarantine.SelectRuns(suspects.runs)}
+	c.reportedCrashes = append(c.reportedCrashes, reportedCrash{crash, runs, suspects.brokenAt})
 	news := c.pendingNews()
 	if len(news.Crashes) < maxPendingCrashes {
-		news.Crashes = append(news.Crashes, crash)
+		news.addCrash(crash, runs)
 	}
-	for _, fp := range c.recordCrash(crash) {
-		c.announcedVerdicts[fp] = true
-		news.Verdicts = append(news.Verdicts, quarantine.Verdict{Fingerprint: fp})
+	for _, fp := range c.recordCrash(crash, runs.Runs) {
+		c.announceVerdict(fp)
 	}
 }
 
 // recordCrash records a crash, here or at a peer, and returns the fingerprints that are
 // blocked since.
-func (c *Core) recordCrash(crash quarantine.Crash) []quarantine.Fingerprint {
-	changes := c.culprits.RecordCrash(c.now, crash)
+func (c *Core) recordCrash(crash quarantine.Crash, runs []quarantine.CrashedRun) []quarantine.Fingerprint {
+	changes := c.culprits.RecordCrash(c.now, crash, runs...)
+	c.recordChanges(changes, crash.Death.Target)
+	c.awaitIncidentsEnd()
+	return changes.Quarantined
+}
+
+// awaitIncidentsEnd has endIncidents called once all incidents have ended.
+func (c *Core) awaitIncidentsEnd() {
+	if left := c.culprits.UntilIncidentsEnd(c.now); left > 0 && !c.incidentTimer {
+		c.incidentTimer = true
+		c.afterFunc(left, c.endIncidents)
+	}
+}
+
+// endIncidents blocks the fingerprints that have turned out to be the cause of an incident.
+func (c *Core) endIncidents() {
+	c.incidentTimer = false
+	c.awaitIncidentsEnd()
+	changes := c.culprits.EndIncidents(c.now)
+	c.recordChanges(changes, "")
 	for _, fp := range changes.Quarantined {
-		c.log("fingerprint-blocked", "fingerprint", formatFingerprint(fp), "target", crash.Death.Target)
+		if slices.ContainsFunc(c.reportedCrashes, func(crash reportedCrash) bool { return slices.Contains(crash.Suspects, fp) }) {
+			c.announceVerdict(fp)
+		}
+	}
+}
+
+// announceVerdict tells the peers that a fingerprint is blocked.
+func (c *Core) announceVerdict(fp quarantine.Fingerprint) {
+	c.announcedVerdicts[fp] = true
+	news := c.pendingNews()
+	news.Verdicts = append(news.Verdicts, quarantine.Verdict{Fingerprint: fp})
+}
+
+// recordChanges records which fingerprints are blocked, and which no longer. The target is
+// that of the crash that has brought it about, empty for the end of an incident.
+func (c *Core) recordChanges(changes quarantine.StateChanges, target string) {
+	for _, fp := range changes.Quarantined {
+		c.log("fingerprint-blocked", "fingerprint", formatFingerprint(fp), "target", target)
 		c.incrementCounter("fingerprints", "blocked")
 	}
 	c.recordReleases(changes.Cleared, false)
-	return changes.Quarantined
 }
 
 // recordReleases records that fingerprints are no longer blocked. The peers are told
--- a/internal/fleet/gossip_ranges.go
+++ b/internal/fleet/gossip_ranges.go
@@ -53,6 +53,9 @@
 	})
 	dropFrom(&dropped, "Costs", &n.Costs, func(r *CostReport) bool { return isBetween(r.Excess, 0, maxToldExcess) })
 	dropFrom(&dropped, "Waiting", &n.Waiting, func(r *WaitingReport) bool { return r.Ended || r.isInRange() })
+	dropFrom(&dropped, "CrashedRuns", &n.CrashedRuns, func(runs *quarantine.CrashedRuns) bool {
+		return !slices.ContainsFunc(runs.Runs, func(run quarantine.CrashedRun) bool { return !isBetween(run.Duration, 0, maxToldAge) })
+	})
 	return dropped
 }
 
--- a/internal/fleet/news.go
+++ b/internal/fleet/news.go
@@ -16,6 +16,26 @@
 	Costs []CostReport
 	// Waiting are the sender's requests that wait for capacity.
 	Waiting []WaitingReport
+	// CrashedRuns are runs at the targets that Crashes name.
+	CrashedRuns []quarantine.CrashedRuns
+}
+
+// addCrash adds a crash with the runs that it ended.
+func (n *News) addCrash(crash quarantine.Crash, runs quarantine.CrashedRuns) {
+	n.Crashes = append(n.Crashes, crash)
+	if len(runs.Runs) > 0 {
+		n.CrashedRuns = append(n.CrashedRuns, runs)
+	}
+}
+
+// crashedRuns returns the runs that ended with a target.
+func (n *News) crashedRuns(death quarantine.Death) []quarantine.CrashedRun {
+	for _, runs := range n.CrashedRuns {
+		if runs.Death == death {
+			return runs.Runs
+		}
+	}
+	return nil
 }
 
 // pendingNews returns the pending news for all peers and schedules their message.
@@ -58,7 +78,7 @@
 	for _, reported := range c.reportedCrashes {
 		crash := reported.Crash
 		crash.Age = c.now - reported.at
-		news.Crashes = append(news.Crashes, crash)
+		news.addCrash(crash, reported.runs)
 	}
 	if len(news.Crashes)+len(news.Verdicts)+len(news.Limits)+len(news.Evacuations)+len(news.Waiting) > 0 {
 		g.News = &news
@@ -73,7 +93,7 @@
 		c.recordReleases(c.culprits.RecordSurvival(c.now-survival.Age, fps), false)
 	}
 	for _, crash := range news.Crashes {
-		c.recordCrash(crash)
+		c.recordCrash(crash, news.crashedRuns(crash.Death))
 	}
 	for _, report := range news.Limits {
 		c.applyLimit(report)
--- a/internal/fleet/placement.go
+++ b/internal/fleet/placement.go
@@ -95,7 +95,7 @@
 	case !c.usesPredictions():
 		return placement{primary: c.leastOutstanding(pool), firstEventMS: toMS(a.arrival.Route.TargetLatency)}
 	case e == nil || a.arrival.PromptTokens == 0:
-		return placement{primary: c.leastOutstanding(c.localTargets(pool)), firstEventMS: toMS(a.arrival.Route.TargetLatency)}
+		return placement{primary: c.leastOutstanding(c.localTargets(a.outsideBrokenDomains(pool))), firstEventMS: toMS(a.arrival.Route.TargetLatency)}
 	}
 	return c.bestPlacement(a, e, pool)
 }
@@ -115,53 +115,6 @@
 	return nil
 }
 
-// candidateTargets returns the targets that may run the request. Targets whose loads
-// this instance does not follow are returned only if there are no others; after
-// them those that failed the request before, or that are avoided because of their own
-// health or that of their failure domain.
-func (c *Core) candidateTargets(a *activeRequest) []*targetState {
-	var preferred, unfollowed, avoided []*targetState
-	domain := c.gossipDomain()
-	for _, target := range c.serviceTargets(a.service) {
-		switch {
-		case !target.takesWork() || c.isEvacuated(target.FailureDomain) || !c.mayHaveWeights(target, a.arrival.WeightsVersion) || !c.limitAllows(target) || !c.quietAllows(target) || !c.coldAllows(target):
-		case !c.isUsable(a, target):
-			avoided = append(avoided, target)
-		case !c.followsLoads(domain, target):
-			unfollowed = append(unfollowed, target)
-		default:
-			preferred = append(preferred, target)
-		}
-	}
-	switch {
-	case len(preferred) > 0:
-		return preferred
-	case len(unfollowed) > 0:
-		return unfollowed
-	default:
-		return avoided
-	}
-}
-
-// isUsable reports whether a target is not avoided for the request.
-func (c *Core) isUsable(a *activeRequest, target *targetState) bool {
-	return target.health.usable(c.now) && c.domainUsable(target.FailureDomain) && !slices.Contains(a.triedTargets, target.ID) &&
-		(target.FailureDomain == c.opts.FailureDomain || target.FailureDomain != a.unreachableDomain && !a.ownDomainOnly)
-}
-
-// localTargets returns the targets of this instance's failure domain that use less
-// than half of their slots, or all of the pool if there are none. A request that
-// stays in its domain is not hit by a cut between domains.
-func (c *Core) localTargets(pool []*targetState) []*targetState {
-	local := selectFunc(pool, func(target *targetState) bool {
-		return target.FailureDomain == c.opts.FailureDomain && 2*len(target.loads) < target.Slots
-	})
-	if len(local) == 0 {
-		return pool
-	}
-	return local
-}
-
 // leastOutstanding returns the target with the fewest loads, preferring this
 // instance's failure domain among equals. The search starts at a random target.
 func (c *Core) leastOutstanding(pool []*targetState) *targetState {
@@ -452,7 +405,7 @@
 	if firstEventMS+lateSlotWaitMS-slotWaitMS > toMS(a.firstEventDeadline()-c.now) {
 		ownValue = 0
 	}
-	score := ownValue - harm - value*(helperCost*float64(parts-1)+c.domainCost(primary.targetState)) - c.coldCost(primary.targetState)
+	score := ownValue - harm - value*(helperCost*float64(parts-1)+c.domainCost(primary.targetState)+a.brokenDomainCost(primary.targetState)) - c.coldCost(primary.targetState)
 	score -= value * delayCost * min(1, firstEventMS/max(1, toMS(a.arrival.Route.TargetLatency)))
 	score += value * c.packingPreference(input, primary)
 	p := placement{
--- a/internal/fleet/placement_weights.go
+++ b/internal/fleet/placement_weights.go
@@ -40,6 +40,9 @@
 	// remoteDomainCost is the cost of a target in another failure domain, as a share
 	// of the request's value.
 	remoteDomainCost = 0.002
+	// brokenDomainCost is the same for a target in a failure domain where a connection of
+	// the request broke.
+	brokenDomainCost = 0.2
 	// guestDomainCost replaces remoteDomainCost in a large fleet, where a domain uses
 	// the targets of others only when its own are busy: their own instances choose
 	// among fewer targets than all.
--- a/internal/fleet/relay_test.go
+++ b/internal/fleet/relay_test.go
@@ -41,7 +41,8 @@
 		peer.lastID++
 		relay.request = peer.lastID
 		arrival := &worldRequest{
-			route: r.route, path: r.path, key: r.key, prompt: r.prompt, parts: r.parts, sentAt: w.now, relay: relay, origin: r,
+			route: r.route, path: r.path, key: r.key, prompt: r.prompt, parts: r.parts, fingerprint: r.fingerprint, beginsAtOnce: r.beginsAtOnce,
+			sentAt: w.now, relay: relay, origin: r,
 		}
 		peer.requests[peer.lastID] = arrival
 		config, route, caller, denial := peer.admit(arrival)
@@ -51,7 +52,7 @@
 		}
 		peer.step(RequestArrived{
 			Request: peer.lastID, Route: route, Config: config, Caller: caller, Deadline: s.Deadline, PromptTokens: r.prompt,
-			MaxAnswerTokens: 400, SharedParts: r.parts, Relayed: true, AttemptsLeft: s.Relay.AttemptsLeft, ResumeAfter: s.ResumeAfter,
+			MaxAnswerTokens: 400, Fingerprint: r.fingerprint, SharedParts: r.parts, Relayed: true, AttemptsLeft: s.Relay.AttemptsLeft, ResumeAfter: s.ResumeAfter,
 		})
 	})
 }
--- a/internal/fleet/request.go
+++ b/internal/fleet/request.go
@@ -46,6 +46,7 @@
 	waited                bool         // has waited for room at the targets
 	forecast              roomForecast // the last one
 	unreachableDomain     string       // domain of a target that could not be connected to
+	brokenDomains         []string     // domains of targets at which the request's connections broke
 	ownDomainOnly         bool         // a cut may separate targets of different domains
 	arrivedAtTarget       bool         // a target rejected the request; see also attemptsRun
 	anyEventDelivered     bool         // an event or more went to the caller
@@ -155,7 +156,7 @@
 func (c *Core) decide(a *activeRequest) {
 	c.followConfig(a)
 	if c.isBlocked(a) {
-		c.refuseOrFail(a, result.Quarantined, quarantineRetryAfter)
+		c.refuseOrFail(a, result.Quarantined, c.blockedRetryAfter(a))
 		return
 	}
 	if c.isServiceEvacuated(a.service) {
@@ -366,7 +367,7 @@
 		a.attemptsNotRun > maxAttemptsNotRun && c.relayPeer(a) == "":
 		c.refuseOrFail(a, result.TargetsRefused, c.retryAfterQuiet(a, minRetryAfter))
 	case c.isBlocked(a):
-		c.refuseOrFail(a, result.Quarantined, quarantineRetryAfter)
+		c.refuseOrFail(a, result.Quarantined, c.blockedRetryAfter(a))
 	case (a.arrivedAtTarget || a.attemptsRun > 0) && !c.takeRequestRetry(a):
 		c.refuseOrFail(a, result.RetryBudget, c.retryAfterQuiet(a, minRetryAfter))
 	default:
--- a/internal/fleet/reserve.go
+++ b/internal/fleet/reserve.go
@@ -105,7 +105,7 @@
 		return
 	}
 	if c.isBlocked(a) {
-		c.refuseOrFail(a, result.Quarantined, quarantineRetryAfter)
+		c.refuseOrFail(a, result.Quarantined, c.blockedRetryAfter(a))
 		return
 	}
 	if !res.denied && c.anyWantsQuiet(&res.placement) {
--- a/internal/fleet/silence.go
+++ b/internal/fleet/silence.go
@@ -235,13 +235,13 @@
 	return r, firstEventAt < min(a.callerLeavesAt(), a.deadline) && c.endsBeforeStop(a, *p)
 }
 
-// isQuarantined reports whether the request could only run again on trial.
+// isQuarantined reports whether the request may not run again, or only on trial.
 func (c *Core) isQuarantined(a *activeRequest) bool {
 	if a.trial {
 		return false
 	}
-	admission, _ := c.culprits.Admit(c.now, a.fingerprints, func(quarantine.Fingerprint) bool { return false })
-	return admission == quarantine.Refused
+	admission := c.admission(a)
+	return admission == quarantine.Refused || admission == quarantine.Suspended
 }
 
 // placeElsewhere returns the placement that the request would get if its current attempt
--- a/internal/fleet/target_path.go
+++ b/internal/fleet/target_path.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/medlardeck/medlardeck/internal/quarantine"
 )
 
 // Detection of the loss of this instance's own path to the targets of a service.
@@ -61,7 +59,7 @@
 
 type heldCrash struct {
 	target   Target
-	suspects []quarantine.Fingerprint
+	suspects crashSuspects
 }
 
 // pathTo returns what is known of the path to the targets of a service.
@@ -244,7 +242,7 @@
 
 // confirmCrash reports a crash. While the own path to the targets is in doubt or lost, the
 // crash is held instead.
-func (c *Core) confirmCrash(target Target, suspects []quarantine.Fingerprint) {
+func (c *Core) confirmCrash(target Target, suspects crashSuspects) {
 	path := c.pathTo(target.Service)
 	switch {
 	case path.state == pathSound:
--- a/internal/fleet/target_path_test.go
+++ b/internal/fleet/target_path_test.go
@@ -65,12 +65,12 @@
 func TestCrashesAreReportedAfterADoubt(t *testing.T) {
 	h := newHarness(t, 6)
 	first, second := h.core.targets["pool-00"].Target, h.core.targets["pool-01"].Target
-	h.core.confirmCrash(first, nil)
+	h.core.confirmCrash(first, crashSuspects{})
 	must.Len(t, 1, h.core.reportedCrashes)
 	h.step(TargetChecked{first, CheckRefused})
 	h.step(TargetChecked{second, CheckRefused})
 	must.Eq(t, pathDoubted, h.core.pathTo("pool").state)
-	h.core.confirmCrash(second, nil)
+	h.core.confirmCrash(second, crashSuspects{})
 	must.Len(t, 1, h.core.reportedCrashes)
 	h.step(TargetChecked{h.core.targets["pool-02"].Target, CheckAccepted})
 	must.Len(t, 2, h.core.reportedCrashes)
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -41,6 +41,8 @@
 	// crashing are the parts that crash targets now.
 	crashing map[uint64]bool
 	cut      string // failure domain that is separated from the others
+	// oneTargetDomain says that all targets are in the first failure domain.
+	oneTargetDomain bool
 	// silenced says that the messages from one instance to another are lost; nil for none.
 	silenced func(from, to *worldInstance) bool
 	crashes  map[uint64][]time.Duration
@@ -91,6 +93,8 @@
 	route, prompt int
 	path, key     string // select the route and the caller instead of route, if set
 	parts         []uint64
+	fingerprint   uint64
+	beginsAtOnce  bool // once it reaches a target
 	sentAt        time.Duration
 	sends         int
 	began         bool // at the first attempt
@@ -173,6 +177,9 @@
 		ID: fmt.Sprintf("t%d-%d", target.slot, target.starts), Service: "pool", Address: fmt.Sprintf("10.0.0.%d:1", target.slot),
 		FailureDomain: w.domain(target.slot), Slots: 16, StartedMS: w.now.Milliseconds() + 1,
 	}
+	if w.oneTargetDomain {
+		target.FailureDomain = w.domain(0)
+	}
 	for _, in := range w.instances {
 		in.step(TargetListed{target.Target})
 	}
@@ -288,16 +295,22 @@
 
 // submit sends a request to an instance.
 func (in *worldInstance) submit(route, prompt int, parts ...uint64) *worldRequest {
-	r := &worldRequest{route: route, prompt: prompt, parts: parts, sentAt: in.world.now}
+	r := &worldRequest{route: route, prompt: prompt, parts: parts, fingerprint: in.world.rng.Uint64()}
+	in.receive(r)
+	return r
+}
+
+// receive makes a request arrive at an instance.
+func (in *worldInstance) receive(r *worldRequest) {
+	r.sentAt = in.world.now
 	in.world.requests = append(in.world.requests, r)
 	in.lastID++
 	in.requests[in.lastID] = r
 	in.step(RequestArrived{
-		Request: in.lastID, Route: in.world.config.Routes[route], Config: in.world.config,
-		Deadline: in.world.now + in.world.config.Routes[route].Timeout, PromptTokens: prompt, MaxAnswerTokens: 400,
-		Fingerprint: in.world.rng.Uint64(), SharedParts: parts,
+		Request: in.lastID, Route: in.world.config.Routes[r.route], Config: in.world.config,
+		Deadline: in.world.now + in.world.config.Routes[r.route].Timeout, PromptTokens: r.prompt, MaxAnswerTokens: 400,
+		Fingerprint: r.fingerprint, SharedParts: r.parts,
 	})
-	return r
 }
 
 func (in *worldInstance) send(s Send) {
@@ -388,6 +401,10 @@
 		run.report(OutcomeNotRun)
 		return
 	}
+	if run.request.beginsAtOnce {
+		run.begin()
+		return
+	}
 	w.after(worldPrefill+time.Duration(w.rng.Int64N(int64(worldPrefill))), run.begin)
 }
 
--- a/internal/fleetnode/message.go
+++ b/internal/fleetnode/message.go
@@ -9,7 +9,6 @@
 
 	"github.com/medlardeck/medlardeck/internal/fleet"
 	"github.com/medlardeck/medlardeck/internal/follow"
-	"github.com/medlardeck/medlardeck/internal/quarantine"
 )
 
 // datagram is one message between instances. New elements are appended to it and to the
@@ -72,8 +71,10 @@
 	processesFormat messageFormat = 2
 	// evacuationsFormat is the first whose news have evacuations, costs and waiting requests.
 	evacuationsFormat messageFormat = 3
+	// crashedRunsFormat is the first whose news have the runs that crashes ended.
+	crashedRunsFormat messageFormat = 4
 	// currentFormat is that of this build.
-	currentFormat = evacuationsFormat
+	currentFormat = crashedRunsFormat
 	// formatTag is the number of the CBOR tag of format zero.
 	formatTag uint64 = 0x6d646b00
 	// maxFormat is the largest format that the tag can hold.
@@ -98,110 +99,6 @@
 	return messageFormat(number - formatTag), raw[formatHeadBytes:]
 }
 
-// newsLayout is the layout of the element for news in messages without a format number.
-type newsLayout uint8
-
-const (
-	// newsUnknown means that the peer has not sent any news yet.
-	newsUnknown newsLayout = iota
-	// newsBrokenRuns is a list of fingerprints in place of News.
-	newsBrokenRuns
-	// newsWithoutLimits is News without its last field, Limits.
-	newsWithoutLimits
-	// newsWithLimits is the layout of News in unnumberedFormat's last builds.
-	newsWithLimits
-)
-
-var newsLayoutNames = [...]string{"unknown", "broken-runs", "crashes", "limits"}
-
-func (l newsLayout) String() string { return newsLayoutNames[l] }
-
-// unnumberedDatagram is a datagram in unnumberedFormat. Its number of elements and their
-// types stay as they are: the builds that read it drop every other message.
-type unnumberedDatagram struct {
-	_             struct{} `cbor:",toarray"`
-	From, Domain  string
-	FollowsStore  bool
-	ConfigVersion uint64
-	StorePosition packedPosition
-	Peers         []netip.AddrPort
-	Gossip        unnumberedGossip
-}
-
-// unnumberedGossip is fleet.Gossip in unnumberedFormat.
-type unnumberedGossip struct {
-	_                       struct{} `cbor:",toarray"`
-	Joining, Full           bool
-	Loads                   []fleet.TargetLoad
-	FirstEvents, EndedLoads []uint64
-	FailedTargets           []string
-	News                    cbor.RawMessage // in one of several layouts; nil is null
-	LeavingTargets          []string
-}
-
-// unnumberedNews is fleet.News as newsWithLimits, which it stayed up to processesFormat.
-type unnumberedNews struct {
-	_         struct{} `cbor:",toarray"`
-	Crashes   []quarantine.Crash
-	Verdicts  []quarantine.Verdict
-	Survivals []quarantine.Survival
-	Limits    []fleet.LimitReport
-}
-
-// crashNews is fleet.News as newsWithoutLimits.
-type crashNews struct {
-	_         struct{} `cbor:",toarray"`
-	Crashes   []quarantine.Crash
-	Verdicts  []quarantine.Verdict
-	Survivals []quarantine.Survival
-}
-
-// incarnationsDatagram is a datagram in incarnationsFormat.
-type incarnationsDatagram struct {
-	_             struct{} `cbor:",toarray"`
-	From, Domain  string
-	FollowsStore  bool
-	ConfigVersion uint64
-	StorePosition packedPosition
-	Peers         []netip.AddrPort
-	Gossip        processesGossip
-}
-
-// processesDatagram is a datagram in processesFormat.
-type processesDatagram struct {
-	_             struct{} `cbor:",toarray"`
-	From, Domain  string
-	FollowsStore  bool
-	ConfigVersion uint64
-	StorePosition packedPosition
-	Peers         []netip.AddrPort
-	Gossip        processesGossip
-	Incarnation   uint64
-}
-
-// processesGossip is fleet.Gossip up to processesFormat.
-type processesGossip struct {
-	_                       struct{} `cbor:",toarray"`
-	Joining, Full           bool
-	Loads                   []fleet.TargetLoad
-	FirstEvents, EndedLoads []uint64
-	FailedTargets           []string
-	News                    *unnumberedNews
-	LeavingTargets          []string
-	Leaving                 []fleet.LeavingTarget
-}
-
-func newProcessesGossip(g *fleet.Gossip) processesGossip {
-	former := processesGossip{
-		Joining: g.Joining, Full: g.Full, Loads: g.Loads, FirstEvents: g.FirstEvents, EndedLoads: g.EndedLoads,
-		FailedTargets: g.FailedTargets, LeavingTargets: g.LeavingTargets, Leaving: g.Leaving,
-	}
-	if n := g.News; n != nil {
-		former.News = &unnumberedNews{Crashes: n.Crashes, Verdicts: n.Verdicts, Survivals: n.Survivals, Limits: n.Limits}
-	}
-	return former
-}
-
 // encode returns a message in the form that a peer reads.
 func (d *datagram) encode(form peerForm) ([][]byte, error) {
 	var content any = d
@@ -211,12 +108,18 @@
 	case incarnationsFormat:
 		content = &incarnationsDatagram{
 			From: d.From, Domain: d.Domain, FollowsStore: d.FollowsStore, ConfigVersion: d.ConfigVersion,
-			StorePosition: d.StorePosition, Peers: d.Peers, Gossip: newProcessesGossip(&d.Gossip),
+			StorePosition: d.StorePosition, Peers: d.Peers, Gossip: newFormerGossip(&d.Gossip, newUnnumberedNews),
 		}
 	case processesFormat:
 		content = &processesDatagram{
 			From: d.From, Domain: d.Domain, FollowsStore: d.FollowsStore, ConfigVersion: d.ConfigVersion,
-			StorePosition: d.StorePosition, Peers: d.Peers, Gossip: newProcessesGossip(&d.Gossip), Incarnation: d.Incarnation,
+			StorePosition: d.StorePosition, Peers: d.Peers, Gossip: newFormerGossip(&d.Gossip, newUnnumberedNews), Incarnation: d.Incarnation,
+		}
+	case evacuationsFormat:
+		content = &evacuationsDatagram{
+			From: d.From, Domain: d.Domain, FollowsStore: d.FollowsStore, ConfigVersion: d.ConfigVersion,
+			StorePosition: d.StorePosition, Peers: d.Peers, Gossip: newFormerGossip(&d.Gossip, newEvacuationsNews), Incarnation: d.Incarnation,
+			NewestConfig: d.NewestConfig, FollowerSign: d.FollowerSign, Changes: d.Changes,
 		}
 	}
 	raw, err := cbor.Marshal(cbor.Tag{Number: formatTag + uint64(currentFormat), Content: content})
@@ -272,7 +175,7 @@
 	if n == nil || layout == newsBrokenRuns {
 		return nil, nil
 	}
-	var content any = unnumberedNews{Crashes: n.Crashes, Verdicts: n.Verdicts, Survivals: n.Survivals, Limits: n.Limits}
+	var content any = newUnnumberedNews(n)
 	if layout == newsWithoutLimits {
 		content = crashNews{Crashes: n.Crashes, Verdicts: n.Verdicts, Survivals: n.Survivals}
 	}
--- a/internal/fleetnode/message_test.go
+++ b/internal/fleetnode/message_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/medlardeck/medlardeck/internal/fleet"
 	"github.com/medlardeck/medlardeck/internal/follow"
+	"github.com/medlardeck/medlardeck/internal/quarantine"
 )
 
 // extended returns a recorded message with one element more in each of its arrays.
@@ -30,7 +31,7 @@
 	for i := range news {
 		news[i] = []any{append(news[i].([]any)[0].([]any), "later")}
 	}
-	g[6] = append(news, nil, nil, nil, "later") // evacuations, costs and waiting come before what is later
+	g[6] = append(news, nil, nil, nil, nil, "later") // evacuations, costs, waiting and crashed runs come before what is later
 	d[6] = append(g, []any{[]any{"t-4", 6, "later"}}, "later")
 	raw, err := cbor.Marshal(cbor.Tag{Number: formatTag + uint64(currentFormat) + 1, Content: append(d, 9, 0, 0, nil, "later")}) // the newest configuration, the sign and the changes come before
 	must.NoError(t, err)
@@ -150,6 +151,7 @@
 		"26e3ce8-news.cbor":  {news: newsWithLimits, eras: true},
 		"04352cd-news.cbor":  {format: incarnationsFormat},
 		"ff3651f-news.cbor":  {format: processesFormat},
+		"7e72433-news.cbor":  {format: evacuationsFormat},
 	} {
 		recorded := recordedMessage(t, name)
 		m, err := decodeMessage(recorded)
@@ -282,3 +284,20 @@
 		})
 	}
 }
+
+// Builds below format 4 would read news with crashed runs part by part, and gain nothing.
+func TestCrashedRunsAreToldToBuildsThatKnowThem(t *testing.T) {
+	m, err := decodeMessage(recordedMessage(t, "7e72433-news.cbor"))
+	must.NoError(t, err)
+	death := m.Gossip.News.Crashes[0].Death
+	m.Gossip.News.CrashedRuns = []quarantine.CrashedRuns{{Death: death, Runs: []quarantine.CrashedRun{{Fingerprint: 21, Duration: time.Millisecond}}}}
+	for format, told := range map[messageFormat]bool{evacuationsFormat: false, crashedRunsFormat: true} {
+		raw, err := m.encode(peerForm{format: format})
+		must.NoError(t, err)
+		read, err := decodeMessage(raw[0])
+		must.NoError(t, err)
+		must.SliceEmpty(t, read.unreadable)
+		must.Eq(t, m.Gossip.News.Crashes, read.Gossip.News.Crashes)
+		must.Eq(t, told, len(read.Gossip.News.CrashedRuns) > 0)
+	}
+}
--- a/internal/fleetnode/old_builds_test.go
+++ b/internal/fleetnode/old_builds_test.go
@@ -297,7 +297,7 @@
 func TestMessagesOfOlderBuildsAreRead(t *testing.T) {
 	names, err := filepath.Glob("testdata/messages/*.cbor")
 	must.NoError(t, err)
-	must.Len(t, 11, names)
+	must.Len(t, 12, names)
 	for _, name := range names {
 		name := filepath.Base(name)
 		t.Run(name, func(t *testing.T) {
--- a/internal/quarantine/culprits.go
+++ b/internal/quarantine/culprits.go
@@ -17,9 +17,12 @@
 	// better than that by a blocked fingerprint to replace it.
 	rivalMargin = 2
 	// Crashes in one failure domain with gaps of up to incidentGap, within
-	// maxIncident, count as one: they may have another common cause.
+	// MaxIncident, are one incident: they may have another common cause.
 	incidentGap = 250 * time.Millisecond
-	maxIncident = time.Second
+	MaxIncident = time.Second
+	// reportDelay is how much later than its sender an instance may date a crash that it
+	// is told of.
+	reportDelay = 10 * time.Millisecond
 	// TrialInterval is the time between two trial runs of a blocked fingerprint.
 	TrialInterval = SuspectTTL
 	// maxCrashes, maxSuspects and maxVerdicts limit what is kept: crashes, suspects of
@@ -27,6 +30,8 @@
 	maxCrashes  = 128
 	maxSuspects = 192
 	maxVerdicts = 256
+	// maxCrashedRuns limits the runs of one crash that are told.
+	maxCrashedRuns = 64
 	// expiryInterval is the time between two removals of expired entries.
 	expiryInterval = 10 * time.Second
 )
@@ -42,6 +47,22 @@
 	Suspects []Fingerprint
 }
 
+// CrashedRuns are the runs of whole requests that had begun at a target within
+// MaxIncident before it crashed.
+type CrashedRuns struct {
+	_     struct{} `cbor:",toarray"`
+	Death Death
+	Runs  []CrashedRun
+}
+
+// CrashedRun is a run that ended with its target.
+type CrashedRun struct {
+	_           struct{} `cbor:",toarray"`
+	Fingerprint Fingerprint
+	// Duration is the time from the beginning of the run to the crash.
+	Duration time.Duration
+}
+
 // Verdict says that requests with a fingerprint are blocked.
 type Verdict struct {
 	_           struct{} `cbor:",toarray"`
@@ -81,6 +102,8 @@
 	at       time.Duration
 	incident int
 	suspects map[Fingerprint]bool
+	// runs are the times at which runs of suspects began, as far as they are known.
+	runs map[Fingerprint]time.Duration
 }
 
 // verdict is the local record of a Verdict.
@@ -94,26 +117,68 @@
 	return &Culprits{survivedAt: make(map[Fingerprint]time.Duration), verdicts: make(map[Fingerprint]*verdict)}
 }
 
-// RecordCrash records a crash and returns the fingerprints that are blocked and those
-// that are no longer, each in ascending order.
-func (c *Culprits) RecordCrash(now time.Duration, report Crash) StateChanges {
+// RecordCrash records a crash with what is known of the runs there, and returns the
+// fingerprints that are blocked and those that are no longer, each in ascending order.
+func (c *Culprits) RecordCrash(now time.Duration, report Crash, runs ...CrashedRun) StateChanges {
 	c.expire(now)
 	if report.Age > SuspectTTL {
 		return StateChanges{}
 	}
 	record := c.crashRecord(report, now-report.Age)
-	added := false
-	for _, fp := range report.Suspects {
-		if len(record.suspects) < maxSuspects && !record.suspects[fp] {
-			record.suspects[fp], added = true, true
-		}
+	added := record.addSuspects(report.Suspects)
+	if record.addRuns(now-report.Age, runs) {
+		added = true
+	}
+	if !added || !slices.ContainsFunc(report.Suspects, func(fp Fingerprint) bool { return c.mayBeCulprit(now, fp) }) {
+		return StateChanges{}
 	}
-	if !added || !slices.ContainsFunc(report.Suspects, c.mayBeCulprit) {
+	return c.updateVerdicts(now)
+}
+
+// EndIncidents blocks and releases fingerprints as RecordCrash does: what counts once
+// while an incident lasts may be more when it has ended.
+func (c *Culprits) EndIncidents(now time.Duration) StateChanges {
+	if len(c.crashes) < culpritIncidents {
 		return StateChanges{}
 	}
 	return c.updateVerdicts(now)
 }
 
+// UntilIncidentsEnd returns the time until EndIncidents is to be called, zero if no
+// incident lasts.
+func (c *Culprits) UntilIncidentsEnd(now time.Duration) (left time.Duration) {
+	for _, record := range c.crashes {
+		left = max(left, record.at+incidentGap+time.Millisecond-now)
+	}
+	return left
+}
+
+// addSuspects reports whether any of the suspects is new.
+func (r *crash) addSuspects(fps []Fingerprint) (added bool) {
+	for _, fp := range fps {
+		if len(r.suspects) < maxSuspects && !r.suspects[fp] {
+			r.suspects[fp], added = true, true
+		}
+	}
+	return added
+}
+
+// addRuns adds runs of suspects that ended at the given time. Of several runs with a
+// fingerprint the one that began first counts. It reports whether anything changed.
+func (r *crash) addRuns(endedAt time.Duration, runs []CrashedRun) (changed bool) {
+	for _, run := range runs {
+		beganAt := endedAt - run.Duration
+		if known, ok := r.runs[run.Fingerprint]; !r.suspects[run.Fingerprint] || ok && known <= beganAt {
+			continue
+		}
+		if r.runs == nil {
+			r.runs = make(map[Fingerprint]time.Duration)
+		}
+		r.runs[run.Fingerprint], changed = beganAt, true
+	}
+	return changed
+}
+
 // SelectSuspects returns up to maxSuspects distinct ones of the fingerprints of runs
 // that a crash ended: those with which no run has survived first.
 func (c *Culprits) SelectSuspects(fps []Fingerprint) []Fingerprint {
@@ -128,9 +193,16 @@
 	return selected[:min(len(selected), maxSuspects)]
 }
 
+// SelectRuns returns up to maxCrashedRuns of the runs that a crash ended: those that
+// began last.
+func SelectRuns(runs []CrashedRun) []CrashedRun {
+	selected := slices.SortedFunc(slices.Values(runs), func(a, b CrashedRun) int { return cmp.Compare(a.Duration, b.Duration) })
+	return selected[:min(len(selected), maxCrashedRuns)]
+}
+
 // mayBeCulprit reports whether a fingerprint is blocked or has enough crashes to be.
-func (c *Culprits) mayBeCulprit(fp Fingerprint) bool {
-	count, _ := c.incidents(fp)
+func (c *Culprits) mayBeCulprit(now time.Duration, fp Fingerprint) bool {
+	count, _ := c.evidence(fp, now)
 	return count >= culpritIncidents || c.verdicts[fp] != nil
 }
 
@@ -152,30 +224,6 @@
 	return record
 }
 
-// incidentOf returns the number of the incident that a crash belongs to.
-func (c *Culprits) incidentOf(domain string, at time.Duration) int {
-	for _, other := range slices.Backward(c.crashes) {
-		if other.domain == domain && (at-other.at).Abs() <= incidentGap && (at-c.incidentBegin(other.incident)).Abs() <= maxIncident {
-			return other.incident
-		}
-	}
-	c.lastIncident++
-	return c.lastIncident
-}
-
-// incidentBegin returns the time of an incident's first crash.
-func (c *Culprits) incidentBegin(incident int) time.Duration {
-	i := slices.IndexFunc(c.crashes, func(record *crash) bool { return record.incident == incident })
-	return c.crashes[i].at
-}
-
-// isEvidence reports whether a crash counts against a fingerprint: no run with it
-// has survived since.
-func (c *Culprits) isEvidence(record *crash, fp Fingerprint) bool {
-	survivedAt, ok := c.survivedAt[fp]
-	return record.suspects[fp] && (!ok || survivedAt < record.at)
-}
-
 // Suspected reports whether a crash counts against a fingerprint with which no run has
 // survived yet.
 func (c *Culprits) Suspected(fps []Fingerprint) bool {
@@ -190,7 +238,7 @@
 // crashes are not known here stays blocked.
 func (c *Culprits) updateVerdicts(now time.Duration) StateChanges {
 	var changes StateChanges
-	explanations := c.explain()
+	explanations := c.explain(now)
 	for fp, evidenceAt := range explanations {
 		known := c.verdicts[fp]
 		if known == nil {
@@ -220,76 +268,6 @@
 	evictLowest(c.verdicts, maxVerdicts, func(a, b *verdict) int { return cmp.Compare(a.seenAt, b.seenAt) })
 }
 
-// explain returns the fingerprints that explain the crashes, with the time of the last
-// crash that each explains. It picks the one that explains most and goes on with the
-// crashes that are left, so that a fingerprint that only shared targets with a culprit
-// is not blocked.
-func (c *Culprits) explain() map[Fingerprint]time.Duration {
-	explanations := make(map[Fingerprint]time.Duration)
-	left := slices.Clone(c.crashes)
-	for {
-		fp, ok := c.bestExplanation(left)
-		if !ok {
-			return explanations
-		}
-		left = slices.DeleteFunc(left, func(record *crash) bool {
-			explained := c.isEvidence(record, fp)
-			if explained {
-				explanations[fp] = max(explanations[fp], record.at)
-			}
-			return explained
-		})
-	}
-}
-
-// bestExplanation returns the fingerprint that explains the most incidents. Of equals
-// it prefers one with which no run has survived, and then the largest: see
-// RequestFingerprint.
-func (c *Culprits) bestExplanation(crashes []*crash) (best Fingerprint, ok bool) {
-	incidents := make(map[Fingerprint]map[int]bool)
-	for _, record := range crashes {
-		for fp := range record.suspects {
-			if !c.isEvidence(record, fp) {
-				continue
-			}
-			if incidents[fp] == nil {
-				incidents[fp] = make(map[int]bool)
-			}
-			incidents[fp][record.incident] = true
-		}
-	}
-	var bestScore, bestUnproven int
-	for fp, seen := range incidents {
-		needed, score, unproven := culpritIncidents, len(seen), 1
-		if _, proven := c.survivedAt[fp]; proven {
-			needed, unproven = provenIncidents, 0
-		}
-		if c.verdicts[fp] != nil {
-			needed, score = 1, score+rivalMargin-1
-		}
-		if len(seen) >= needed && (!ok || cmp.Or(cmp.Compare(score, bestScore), cmp.Compare(unproven, bestUnproven), cmp.Compare(fp, best)) > 0) {
-			best, bestScore, bestUnproven, ok = fp, score, unproven, true
-		}
-	}
-	return best, ok
-}
-
-// incidents returns the number of incidents that count against a fingerprint, and the
-// time of the last of its crashes.
-func (c *Culprits) incidents(fp Fingerprint) (count int, last time.Duration) {
-	var seen []int
-	for _, record := range c.crashes {
-		if !c.isEvidence(record, fp) {
-			continue
-		}
-		last = max(last, record.at)
-		if !slices.Contains(seen, record.incident) {
-			seen = append(seen, record.incident)
-		}
-	}
-	return len(seen), last
-}
-
 // RecordSurvival records that a run with the fingerprints did not crash its target, and
 // returns those that are no longer blocked.
 func (c *Culprits) RecordSurvival(at time.Duration, fps []Fingerprint) []Fingerprint {
@@ -302,7 +280,7 @@
 		if c.verdicts[fp] == nil {
 			continue
 		}
-		if count, _ := c.incidents(fp); count < provenIncidents {
+		if count, _ := c.evidence(fp, endOfTime); count < provenIncidents {
 			delete(c.verdicts, fp)
 			released = append(released, fp)
 		}
@@ -328,7 +306,7 @@
 func (c *Culprits) AdoptVerdict(now time.Duration, v Verdict) (survival *Survival, adopted bool) {
 	evidenceAt, seenAt := now-v.EvidenceAge, now-v.SeenAge
 	if survivedAt, ok := c.survivedAt[v.Fingerprint]; ok {
-		count, last := c.incidents(v.Fingerprint)
+		count, last := c.evidence(v.Fingerprint, endOfTime)
 		if count < provenIncidents {
 			survival = &Survival{Fingerprint: v.Fingerprint, Age: now - survivedAt}
 			if max(last, survivedAt)+incidentGap >= evidenceAt {
@@ -356,10 +334,13 @@
 	// crashes targets.
 	Trial
 	Refused
+	// Suspended refuses a request for MaxIncident at most: the crashes of an incident that
+	// may have another cause would block it.
+	Suspended
 )
 
 // Admit decides on a request by its fingerprints and returns the blocked one that
-// decides, if any. A verdict holds as long as such requests come. Each TrialInterval
+// decides, if any; that of a whole request comes first. A verdict holds as long as such requests come. Each TrialInterval
 // since the last evidence, mayTry is asked whether this instance may run a trial.
 func (c *Culprits) Admit(now time.Duration, fps []Fingerprint, mayTry func(Fingerprint) bool) (Admission, Fingerprint) {
 	admission, decisive := Admitted, Fingerprint(0)
@@ -378,9 +359,22 @@
 			admission = Trial
 		}
 	}
+	if admission == Admitted && len(fps) > 0 && c.isSuspended(now, fps[0]) {
+		return Suspended, fps[0]
+	}
 	return admission, decisive
 }
 
+// isSuspended reports whether a request would be blocked if all incidents had ended.
+func (c *Culprits) isSuspended(now time.Duration, fp Fingerprint) bool {
+	if fp&requestBit == 0 || !c.mayBeSuspect(fp) {
+		return false
+	}
+	needed := c.neededCrashes(fp)
+	count, last := c.evidence(fp, endOfTime)
+	return count >= needed && now-last <= MaxIncident
+}
+
 // Verdicts returns all verdicts, in ascending order of the fingerprints.
 func (c *Culprits) Verdicts(now time.Duration) []Verdict {
 	c.expire(now)
