fleet, platform: an empty list of workspaces lets no key in

Cause: RequiresKeys asked whether the list of workspaces has any entries. An empty list, null and a missing one were one value after decoding, and the check of keys was off for all three. Evidence: a decoder that reads "tenants":[] after a list of two yields a configuration that requires no keys.

Change: the configuration says whether it has the list; with one, a request needs a key that the list holds, also if it is empty or null. Without one nothing changes. The log line of a configuration says whether keys are required.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -124,7 +124,10 @@
 	Routes     []*Route
 	Services   map[string]*Service
 	Workspaces []*Workspace
-	Limits     Limits
+	// ListsWorkspaces says that the configuration has a list of workspaces, which may be
+	// empty.
+	ListsWorkspaces bool
+	Limits          Limits
 
 	routes          *index[*Route]     // by routeKey
 	workspaces      *index[*Workspace] // by API key
@@ -233,5 +236,6 @@
 	return w
 }
 
-// RequiresKeys reports whether the configuration requires API keys.
-func (c *Config) RequiresKeys() bool { return len(c.Workspaces) > 0 }
+// RequiresKeys reports whether the configuration requires API keys. If its list of
+// workspaces is empty, no key is held.
+func (c *Config) RequiresKeys() bool { return c.ListsWorkspaces || len(c.Workspaces) > 0 }
--- a/internal/fleet/core.go
+++ b/internal/fleet/core.go
@@ -213,7 +213,7 @@
 		return
 	}
 	c.log("configuration", "version", config.Version, "routes", len(config.Routes),
-		"workspaces", len(config.Workspaces))
+		"workspaces", len(config.Workspaces), "keys_required", config.RequiresKeys())
 	former := c.config
 	c.config = config
 	c.applyKnownServices(former)
