fleet: an empty API key belongs to no workspace

What callers would see: a request without a key runs for a workspace whose list of keys has an empty one, or null, which decodes to the same.

Cause: a request without a key was looked up as the empty key.

Change: Authenticate returns no workspace for an empty key.

TestEmptyKeysLetNobodyIn failed before (the empty key was let in) and passes.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -230,8 +230,12 @@
 	return v
 }
 
-// Authenticate returns the workspace that the API key belongs to, or nil.
+// Authenticate returns the workspace that the API key belongs to, or nil. An empty key
+// belongs to none, whatever the workspaces list.
 func (c *Config) Authenticate(key string) *Workspace {
+	if key == "" {
+		return nil
+	}
 	w, _ := c.workspaces.get(key)
 	return w
 }
