follow, platform: a watch that is cut is no outage of the store

Cause: a cut watch counted as the loss of the store and the list after it as the end of an outage, around which removals wait for 2.1 s; each further cut began that time anew. Evidence: a follower on a store that cuts watches reports an outage with each cut, and an instance behind such a proxy never gives up a removed target.

Change: a watch whose connection ends without a response is no outage by itself. The list that follows decides: it is applied at once, and if it fails the store is lost.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -22,6 +22,9 @@
 // ErrTooLong is returned by a Source whose list exceeds its bounds.
 var ErrTooLong = errors.New("the list has no end within its bound")
 
+// ErrCut is returned by a Source if the connection of a watch ended while it waited.
+var ErrCut = errors.New("the connection ended while the watch waited")
+
 // Position is a moment in the life of a store. A store that is restored from an older
 // copy begins a new era, in which revisions are given out again.
 type Position struct{ Era, Revision uint64 }
@@ -47,8 +50,8 @@
 	List(ctx context.Context, prefix string) ([]Item, Position, error)
 	// Watch returns the changes below a prefix after a position, and the
 	// position to continue from. It waits up to wait for the first change. It
-	// returns ErrCompacted if the store no longer has the changes, and ErrRestored
-	// if it is in another era.
+	// returns ErrCompacted if the store no longer has the changes, ErrRestored
+	// if it is in another era, and ErrCut if its connection ends without a response.
 	Watch(ctx context.Context, prefix string, after Position, wait time.Duration) ([]Item, Position, error)
 }
 
@@ -147,6 +150,10 @@
 				sleep(ctx, initialBackoff) // the list itself failed
 			}
 			listed = false
+		case errors.Is(err, ErrCut):
+			// The store may cut watches that wait. If it has ended, the list fails.
+			listed = false
+			sleep(ctx, initialBackoff)
 		default:
 			// If only watches fail, a list still shows the changes.
 			listed = false
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -205,6 +207,28 @@
 	eventually(t, 2*time.Second, func() bool { return rec.listCount() >= 3 })
 }
 
+// A store that cuts watches is not lost: what its lists lack has gone, and is not waited for.
+func TestCutWatchIsNoOutage(t *testing.T) {
+	store := &fakeStore{changes: func(ctx context.Context, _ Position) ([]Item, Position, error) {
+		sleep(ctx, 5*time.Millisecond)
+		return nil, Position{}, fmt.Errorf("watch: %w", ErrCut)
+	}}
+	rec := &recorder{}
+	startFollower(t, &Follower{Source: store, Handler: rec, RelistAfterOutage: true, WatchTimeout: time.Second})
+	eventually(t, 2*time.Second, func() bool { return rec.listCount() >= 4 })
+	rec.mu.Lock()
+	must.SliceNotContains(t, rec.reachable, false)
+	rec.mu.Unlock()
+	store.mu.Lock()
+	store.listErr = errors.New("connection refused")
+	store.mu.Unlock()
+	eventually(t, time.Second, func() bool {
+		rec.mu.Lock()
+		defer rec.mu.Unlock()
+		return slices.Contains(rec.reachable, false)
+	})
+}
+
 // Entries that expired during an outage are missing from the list that ends it. They
 // are no deaths, so the end of the outage has to be reported first.
 func TestStatusIsReportedBeforeItems(t *testing.T) {
