drainconn: the fields of a head count in the memory budget

Cause: a head was charged by its bytes beyond 16 KiB. What net/http keeps grows with the number of fields: 257 KB for a head of 3,123 fields and 18.5 KB, 17 KB for one of 21 fields and 14.8 KB (measured apart).

Change: a head counts with twice its bytes and 100 bytes for each line; what is above the 32 KiB that belong to its connection is charged to the budget. Heads of usual size are charged nothing, as before.

TestFieldsOfHeadsShareTheMemoryBudget failed before (200 in place of 503) and passes.

--- a/internal/drainconn/conn.go
+++ b/internal/drainconn/conn.go
@@ -196,14 +196,22 @@
 	return 0, false
 }
 
-// freeHeadBytes is the length of a head that belongs to the cost of a connection. What is
-// longer is charged to the memory budget twice: net/http holds the lines and the parsed head.
-const freeHeadBytes = 16 << 10
+const (
+	// freeHeadMemory is the memory of a head that belongs to the cost of a connection: 16 KiB
+	// with their copy.
+	freeHeadMemory = 32 << 10
+	// fieldMemory is what net/http keeps for each field of a head besides its bytes: a slice
+	// for its values, an entry of a map and rounded-up allocations.
+	fieldMemory = 100
+)
+
+// memory returns what a head holds: net/http has its lines and the parsed fields.
+func (h *head) memory() int64 { return 2*int64(h.bytes) + fieldMemory*int64(h.lines) }
 
 // chargeHeadLocked reports whether the memory budget has room for the head so far. c.mu must
 // be held.
 func (c *drainedConn) chargeHeadLocked() bool {
-	bytes := 2*int64(c.head.bytes-freeHeadBytes) - c.headCharge.Held()
+	bytes := c.head.memory() - freeHeadMemory - c.headCharge.Held()
 	return bytes <= 0 || c.headCharge.TryGrow(bytes) == nil
 }
 
--- a/internal/drainconn/full_test.go
+++ b/internal/drainconn/full_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -95,3 +97,22 @@
 		must.True(t, time.Now().Before(end))
 	}
 }
+
+// A head of many short fields holds far more than its bytes, and processes ended by it.
+func TestFieldsOfHeadsShareTheMemoryBudget(t *testing.T) {
+	budget := membudget.New(200 << 10)
+	s := startServerWith(t, Limits{HeadBytes: 16 << 10, HeadTime: 5 * time.Second, IdleTime: 10 * time.Second}, Options{Budget: budget})
+	head := func(fields, valueBytes int) string {
+		var b strings.Builder
+		b.WriteString("GET /x HTTP/1.1\r\nHost: h\r\n")
+		for i := range fields {
+			fmt.Fprintf(&b, "%x:%s\r\n", i+0x1000, strings.Repeat("v", valueBytes))
+		}
+		return b.String() + "\r\n"
+	}
+	conn, br := s.dial(t)
+	write(t, conn, head(20, 700))
+	must.Eq(t, 200, readStatus(t, br))
+	_, _ = conn.Write([]byte(head(2200, 0))) // the server may close the connection before its end
+	must.Eq(t, http.StatusServiceUnavailable, readStatus(t, br))
+}
--- a/internal/drainconn/head.go
+++ b/internal/drainconn/head.go
@@ -13,6 +13,7 @@
 	until      time.Time // zero for no limit
 	maxBytes   int       // zero for no limit
 	bytes      int
+	lines      int  // that have ended
 	lineBytes  int  // of the current line, without its end
 	hasLine    bool // a line that is not empty has been read
 	complete   bool // the empty line at its end has been read
@@ -29,6 +30,7 @@
 		case '\r':
 		case '\n':
 			h.complete = h.hasLine && h.lineBytes == 0
+			h.lines++
 			h.lineBytes = 0
 		default:
 			h.lineBytes++
