forward: a request is the same with another key of its workspace

What callers saw: a request that crashes targets was refused with the key that it had come with, and ran again, three times more, with another key of its workspace.

Cause: the fingerprint of a request had the key of its caller, not the caller.

Change: it has the workspace. A request on a route without keys has its key as before.

--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -63,7 +63,7 @@
 	n.submitRequest(fleet.RequestArrived{
 		ID: metadata.ID, Route: admitted.route, Config: admitted.config, Caller: admitted.caller,
 		PromptTokens: metadata.PromptTokens, MaxAnswerTokens: metadata.MaxAnswerTokens, SharedParts: metadata.SharedParts,
-		WeightsVersion: metadata.WeightsVersion, LengthHint: metadata.LengthHint, ResumeAfter: x.lastEventID, Fingerprint: fingerprint(r, metadata.APIKey, body),
+		WeightsVersion: metadata.WeightsVersion, LengthHint: metadata.LengthHint, ResumeAfter: x.lastEventID, Fingerprint: fingerprint(r, admitted.callerID(metadata), body),
 		Relayed: attemptsLeft > 0, AttemptsLeft: attemptsLeft,
 	}, timeLeft, x)
 	defer context.AfterFunc(r.Context(), func() { n.Step(fleet.CallerLeft{Request: x.requestID}) })()
@@ -103,11 +103,20 @@
 	return &admission{config, route, caller}
 }
 
+// callerID returns what identifies a caller: its workspace, which may have several keys, or
+// the key of an anonymous request, if it has one.
+func (a *admission) callerID(metadata RequestMetadata) string {
+	if a.caller != nil {
+		return a.caller.Name
+	}
+	return metadata.APIKey
+}
+
 // fingerprint returns a hash that identifies a request when its caller sends it
 // again.
-func fingerprint(r *http.Request, key string, body *requestBody) uint64 {
+func fingerprint(r *http.Request, callerID string, body *requestBody) uint64 {
 	d := xxhash.New()
-	for _, s := range []string{r.Method, r.Host, r.RequestURI, key} {
+	for _, s := range []string{r.Method, r.Host, r.RequestURI, callerID} {
 		_, _ = d.WriteString(s) // writes to a digest cannot fail
 		_, _ = d.Write([]byte{0})
 	}
