fleetnode tests: crashed runs out of range are left out

Cause: no test entered the check of the durations that peers tell of crashed runs. Change: the test of statements out of range has one that is negative beside a sound one. With the check taken out it fails; it passes with it.

--- a/internal/fleetnode/ranges_test.go
+++ b/internal/fleetnode/ranges_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/medlardeck/medlardeck/internal/fleet"
+	"github.com/medlardeck/medlardeck/internal/quarantine"
 )
 
 // A load of a prompt without end kept each placement at its target from ending, and one that is
@@ -29,6 +30,10 @@
 		d := datagram{From: "front-2", Gossip: fleet.Gossip{Full: true, Loads: []fleet.TargetLoad{broken, sound}, News: &fleet.News{
 			Limits:  []fleet.LimitReport{{Target: "t", PerSecond: math.NaN()}, {Target: "t", PerSecond: 2}},
 			Waiting: []fleet.WaitingReport{{Service: "s", EngineMS: math.Inf(1)}},
+			CrashedRuns: []quarantine.CrashedRuns{
+				{Death: quarantine.Death{Target: "t"}, Runs: []quarantine.CrashedRun{{Fingerprint: 1, Duration: -time.Hour}}},
+				{Death: quarantine.Death{Target: "u"}, Runs: []quarantine.CrashedRun{{Fingerprint: 1, Duration: time.Millisecond}}},
+			},
 		}}}
 		raw, err := cbor.Marshal(cbor.Tag{Number: formatTag + uint64(currentFormat), Content: &d})
 		must.NoError(t, err)
@@ -38,7 +43,8 @@
 		must.False(t, m.Gossip.Full)
 		must.Len(t, 1, m.Gossip.News.Limits)
 		must.SliceEmpty(t, m.Gossip.News.Waiting)
-		must.SliceContainsAll(t, m.unreadable, []string{".Gossip.Loads", ".Gossip.News.Limits", ".Gossip.News.Waiting"})
+		must.Len(t, 1, m.Gossip.News.CrashedRuns)
+		must.SliceContainsAll(t, m.unreadable, []string{".Gossip.Loads", ".Gossip.News.Limits", ".Gossip.News.Waiting", ".Gossip.News.CrashedRuns"})
 	}
 }
 
